Lay the project out as a reactor: core, balancer and lab

Reason: the laboratory needs libraries that must never enter the balancer's jar, and "the decisions do no I/O" should be a fact of the class path, not a habit.

Change: `core` holds the decision module (package junctionhead.policy) with no dependency but the JDK; `balancer` holds sockets, adapter and Main (the adapter and the reader of settings in junctionhead.wire); `lab` is empty yet.

--- a/src/main/java/junctionhead/Main.java
+++ b/balancer/src/main/java/junctionhead/Main.java
@@ -10,6 +10,9 @@
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import junctionhead.net.Node;
+import junctionhead.policy.Balance;
+import junctionhead.wire.Adapter;
+import junctionhead.wire.WireException;
 
 /** Starts a real balancer, or the adapter on standard input and output. */
 public final class Main {
--- a/src/main/java/junctionhead/admin/AdminListener.java
+++ b/balancer/src/main/java/junctionhead/admin/AdminListener.java
@@ -1,6 +1,7 @@
 package junctionhead.admin;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -10,7 +11,6 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.LineBasedFrameDecoder;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.string.StringDecoder;
--- a/src/main/java/junctionhead/drain/TakenOut.java
+++ b/balancer/src/main/java/junctionhead/drain/TakenOut.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
-import junctionhead.Policy;
+import junctionhead.policy.Policy;
 
 /**
  * The upstreams that operators have taken out, and when those that came back did. A set, not a count: one
--- a/src/main/java/junctionhead/net/Config.java
+++ b/balancer/src/main/java/junctionhead/net/Config.java
@@ -16,7 +16,7 @@
 import java.util.TreeSet;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
-import junctionhead.SettingsReader;
+import junctionhead.wire.SettingsReader;
 
 /** What a balancer is told at its start, by its environment and its configuration file. */
 record Config(String name, InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress discovery,
--- a/src/main/java/junctionhead/net/Discovery.java
+++ b/balancer/src/main/java/junctionhead/net/Discovery.java
@@ -30,9 +30,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
-import junctionhead.Policy;
-import junctionhead.Policy.ListKind;
-import junctionhead.SettingsReader;
+import junctionhead.policy.Policy;
+import junctionhead.policy.Policy.ListKind;
+import junctionhead.wire.SettingsReader;
 
 /**
  * Asks discovery for the list and watches its changes: where discovery is asked, only as the module wishes;
--- a/src/main/java/junctionhead/net/Dispatcher.java
+++ b/balancer/src/main/java/junctionhead/net/Dispatcher.java
@@ -12,8 +12,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
-import junctionhead.Policy;
-import junctionhead.SettingsReader;
+import junctionhead.policy.Policy;
+import junctionhead.wire.SettingsReader;
 
 /**
  * Stands between the sockets and the module: owns the module, its clock and the table of requests and
--- a/src/main/java/junctionhead/net/DryRun.java
+++ b/balancer/src/main/java/junctionhead/net/DryRun.java
@@ -4,7 +4,7 @@
 import java.io.IOException;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import junctionhead.Balance;
+import junctionhead.policy.Balance;
 
 /**
  * Starts a balancer, lets it rehearse and ends it: the build does so once, for the JVM to archive the classes
--- a/src/main/java/junctionhead/net/Membership.java
+++ b/balancer/src/main/java/junctionhead/net/Membership.java
@@ -8,10 +8,10 @@
 import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
-import junctionhead.Policy;
-import junctionhead.Policy.ListKind;
-import junctionhead.SettingsReader;
 import junctionhead.drain.TakenOut;
+import junctionhead.policy.Policy;
+import junctionhead.policy.Policy.ListKind;
+import junctionhead.wire.SettingsReader;
 
 /**
  * Which upstreams there are for this balancer: what discovery has told, and over it what operators have taken
--- a/src/main/java/junctionhead/net/Node.java
+++ b/balancer/src/main/java/junctionhead/net/Node.java
@@ -20,14 +20,14 @@
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import junctionhead.Balance;
-import junctionhead.Policy;
-import junctionhead.SettingsReader;
 import junctionhead.admin.AdminListener;
 import junctionhead.admin.Operations;
 import junctionhead.drain.TakenOut;
 import junctionhead.handover.InheritedListener;
 import junctionhead.handover.PeerLink;
+import junctionhead.policy.Balance;
+import junctionhead.policy.Policy;
+import junctionhead.wire.SettingsReader;
 
 /** One real balancer: its start, its readiness and its orderly stop. */
 public final class Node {
--- a/src/main/java/junctionhead/net/Rehearsal.java
+++ b/balancer/src/main/java/junctionhead/net/Rehearsal.java
@@ -10,9 +10,9 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
-import junctionhead.Balance;
-import junctionhead.Policy;
-import junctionhead.SettingsReader;
+import junctionhead.policy.Balance;
+import junctionhead.policy.Policy;
+import junctionhead.wire.SettingsReader;
 
 /**
  * Takes requests of its own through the whole path, over this node's own address, before clients come. Guards
--- a/src/main/java/junctionhead/net/RequestRules.java
+++ b/balancer/src/main/java/junctionhead/net/RequestRules.java
@@ -13,8 +13,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Stream;
-import junctionhead.Policy;
-import junctionhead.SettingsReader;
+import junctionhead.policy.Policy;
+import junctionhead.wire.SettingsReader;
 
 /** What a request must be like to be taken, and what goes on of it. */
 final class RequestRules {
--- a/src/main/java/junctionhead/net/Targets.java
+++ b/balancer/src/main/java/junctionhead/net/Targets.java
@@ -7,8 +7,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import junctionhead.Policy;
-import junctionhead.SettingsReader;
+import junctionhead.policy.Policy;
+import junctionhead.wire.SettingsReader;
 
 /** A list of upstreams in discovery's form: all of them, or those that changed. */
 record Targets(long rev, boolean all, List<Target> list) {
--- a/src/main/java/junctionhead/net/Upstreams.java
+++ b/balancer/src/main/java/junctionhead/net/Upstreams.java
@@ -35,10 +35,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
-import junctionhead.LoadReport;
-import junctionhead.Policy;
-import junctionhead.Policy.Outcome;
-import junctionhead.SettingsReader;
+import junctionhead.policy.Policy;
+import junctionhead.policy.Policy.Outcome;
+import junctionhead.wire.LoadReport;
+import junctionhead.wire.SettingsReader;
 
 /** The connections to the upstreams, one request at a time on each, and what becomes of each request. */
 final class Upstreams {
--- a/src/main/java/junctionhead/Adapter.java
+++ b/balancer/src/main/java/junctionhead/wire/Adapter.java
@@ -1,4 +1,4 @@
-package junctionhead;
+package junctionhead.wire;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -9,14 +9,15 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import junctionhead.policy.Policy;
 
 /** Hosts many instances of the module and translates between them and the wire. It decides nothing. */
-final class Adapter {
+public final class Adapter {
     private static final int BUFFERS = 16;
     private static final String WAKE = "wake";
 
     /** Makes the module of a new instance. */
-    interface Factory {
+    public interface Factory {
         Policy make(Policy.Settings settings, long seed);
     }
 
@@ -29,7 +30,8 @@
     private final List<List<Policy.Server>> buffers = new ArrayList<>();
     private long line;
 
-    Adapter(Factory factory, BufferedReader in, OutputStream out) {
+    /** Reads batches from {@code in} and writes replies to {@code out}; {@code factory} makes the modules. */
+    public Adapter(Factory factory, BufferedReader in, OutputStream out) {
         this.factory = factory;
         this.in = in;
         this.out = out;
@@ -39,7 +41,7 @@
     }
 
     /** Answers batch after batch until the input ends. */
-    void run() throws IOException {
+    public void run() throws IOException {
         boolean running = true;
         for (Frame frame = next(); frame != null && running; frame = running ? next() : null) {
             if (!frame.name().equals("TICK")) {
--- a/src/main/java/junctionhead/SettingsReader.java
+++ b/balancer/src/main/java/junctionhead/wire/SettingsReader.java
@@ -1,4 +1,4 @@
-package junctionhead;
+package junctionhead.wire;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -7,7 +7,8 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.BiFunction;
-import junctionhead.Policy.Settings;
+import junctionhead.policy.Policy;
+import junctionhead.policy.Policy.Settings;
 
 /**
  * Reads the settings of a balancer from path=value pairs, whether they come from the simulator's wire or from
--- a/src/main/java/junctionhead/WireException.java
+++ b/balancer/src/main/java/junctionhead/wire/WireException.java
@@ -1,7 +1,7 @@
-package junctionhead;
+package junctionhead.wire;
 
 /** What is wrong with the input, in one line that names the place. */
-final class WireException extends RuntimeException {
+public final class WireException extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
     WireException(String message) {
--- a/src/main/java/junctionhead/WireSettings.java
+++ b/balancer/src/main/java/junctionhead/wire/WireSettings.java
@@ -1,4 +1,4 @@
-package junctionhead;
+package junctionhead.wire;
 
 import java.util.HashMap;
 import java.util.Map;
--- a/src/test/java/junctionhead/net/NodeFixture.java
+++ b/balancer/src/test/java/junctionhead/net/NodeFixture.java
@@ -18,7 +18,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import junctionhead.Policy;
+import junctionhead.policy.Policy;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 
--- a/src/test/java/junctionhead/net/OperatorsTest.java
+++ b/balancer/src/test/java/junctionhead/net/OperatorsTest.java
@@ -15,7 +15,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import junctionhead.Policy.ListKind;
+import junctionhead.policy.Policy.ListKind;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
--- a/src/main/java/junctionhead/Balance.java
+++ b/core/src/main/java/junctionhead/policy/Balance.java
@@ -1,4 +1,4 @@
-package junctionhead;
+package junctionhead.policy;
 
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -14,10 +14,10 @@
 import java.util.stream.DoubleStream;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
-import junctionhead.Books.Attempt;
-import junctionhead.Books.Node;
-import junctionhead.Books.Request;
-import junctionhead.Books.Turn;
+import junctionhead.policy.Books.Attempt;
+import junctionhead.policy.Books.Node;
+import junctionhead.policy.Books.Request;
+import junctionhead.policy.Books.Turn;
 
 /**
  * Every decision of one balancer. The module's interface, its events, actions and types, is Policy.java;
--- a/src/main/java/junctionhead/Books.java
+++ b/core/src/main/java/junctionhead/policy/Books.java
@@ -1,10 +1,10 @@
-package junctionhead;
+package junctionhead.policy;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
-import junctionhead.Policy.RequestClass;
-import junctionhead.Policy.Server;
+import junctionhead.policy.Policy.RequestClass;
+import junctionhead.policy.Policy.Server;
 
 /** What a balancer writes down of servers, requests and attempts: plain data, for Balance only. */
 final class Books {
--- a/src/main/java/junctionhead/Hashing.java
+++ b/core/src/main/java/junctionhead/policy/Hashing.java
@@ -1,4 +1,4 @@
-package junctionhead;
+package junctionhead.policy;
 
 /** Hash functions that give the same values on every machine and in every run. */
 final class Hashing {
--- a/src/test/java/junctionhead/DispatchTest.java
+++ b/core/src/test/java/junctionhead/policy/DispatchTest.java
@@ -1,4 +1,4 @@
-package junctionhead;
+package junctionhead.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
@@ -10,12 +10,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import junctionhead.Policy.Effect;
-import junctionhead.Policy.ListKind;
-import junctionhead.Policy.Outcome;
-import junctionhead.Policy.Scope;
-import junctionhead.Policy.Server;
-import junctionhead.Policy.State;
+import junctionhead.policy.Policy.Effect;
+import junctionhead.policy.Policy.ListKind;
+import junctionhead.policy.Policy.Outcome;
+import junctionhead.policy.Policy.Scope;
+import junctionhead.policy.Policy.Server;
+import junctionhead.policy.Policy.State;
 import org.junit.jupiter.api.Test;
 
 /** The ordinary path is JSQ-DAS. */
--- a/src/test/java/junctionhead/Example.java
+++ b/core/src/test/java/junctionhead/policy/Example.java
@@ -1,4 +1,4 @@
-package junctionhead;
+package junctionhead.policy;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/src/test/java/junctionhead/FourRulesTest.java
+++ b/core/src/test/java/junctionhead/policy/FourRulesTest.java
@@ -1,4 +1,4 @@
-package junctionhead;
+package junctionhead.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -10,13 +10,13 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
-import junctionhead.Policy.Effect;
-import junctionhead.Policy.ListKind;
-import junctionhead.Policy.Outcome;
-import junctionhead.Policy.RequestClass;
-import junctionhead.Policy.Scope;
-import junctionhead.Policy.Server;
-import junctionhead.Policy.State;
+import junctionhead.policy.Policy.Effect;
+import junctionhead.policy.Policy.ListKind;
+import junctionhead.policy.Policy.Outcome;
+import junctionhead.policy.Policy.RequestClass;
+import junctionhead.policy.Policy.Scope;
+import junctionhead.policy.Policy.Server;
+import junctionhead.policy.Policy.State;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
--- a/src/test/java/junctionhead/Harness.java
+++ b/core/src/test/java/junctionhead/policy/Harness.java
@@ -1,15 +1,15 @@
-package junctionhead;
+package junctionhead.policy;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import junctionhead.Policy.Effect;
-import junctionhead.Policy.ListKind;
-import junctionhead.Policy.Outcome;
-import junctionhead.Policy.Scope;
-import junctionhead.Policy.Server;
-import junctionhead.Policy.State;
+import junctionhead.policy.Policy.Effect;
+import junctionhead.policy.Policy.ListKind;
+import junctionhead.policy.Policy.Outcome;
+import junctionhead.policy.Policy.Scope;
+import junctionhead.policy.Policy.Server;
+import junctionhead.policy.Policy.State;
 
 /** Drives one module by hand and writes down what it asks for. */
 final class Harness implements Policy.Actions {
--- a/src/test/java/junctionhead/LearnedTest.java
+++ b/core/src/test/java/junctionhead/policy/LearnedTest.java
@@ -1,4 +1,4 @@
-package junctionhead;
+package junctionhead.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -8,11 +8,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.stream.IntStream;
-import junctionhead.Policy.Discovery;
-import junctionhead.Policy.Effect;
-import junctionhead.Policy.ListKind;
-import junctionhead.Policy.Outcome;
-import junctionhead.Policy.Scope;
+import junctionhead.policy.Policy.Discovery;
+import junctionhead.policy.Policy.Effect;
+import junctionhead.policy.Policy.ListKind;
+import junctionhead.policy.Policy.Outcome;
+import junctionhead.policy.Policy.Scope;
 import org.junit.jupiter.api.Test;
 
 /** One test for each failure found: it fails without the answer to it in Rules. */
--- a/src/test/java/junctionhead/LibraryTest.java
+++ b/core/src/test/java/junctionhead/policy/LibraryTest.java
@@ -1,4 +1,4 @@
-package junctionhead;
+package junctionhead.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -11,13 +11,13 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
-import junctionhead.Policy.Effect;
-import junctionhead.Policy.ListKind;
-import junctionhead.Policy.Outcome;
-import junctionhead.Policy.RequestClass;
-import junctionhead.Policy.Scope;
-import junctionhead.Policy.Server;
-import junctionhead.Policy.State;
+import junctionhead.policy.Policy.Effect;
+import junctionhead.policy.Policy.ListKind;
+import junctionhead.policy.Policy.Outcome;
+import junctionhead.policy.Policy.RequestClass;
+import junctionhead.policy.Policy.Scope;
+import junctionhead.policy.Policy.Server;
+import junctionhead.policy.Policy.State;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -28,8 +28,8 @@
 
     @Test
     void theExampleOfTheReadmeRuns() throws IOException {
-        String readme = Files.readString(Path.of("README.md"));
-        String example = Files.readString(Path.of("src/test/java/junctionhead/Example.java"));
+        String readme = Files.readString(Path.of("../README.md"));
+        String example = Files.readString(Path.of("src/test/java/junctionhead/policy/Example.java"));
         int from = readme.indexOf("```java\n") + 8;
         String shown = readme.substring(from, readme.indexOf("```\n", from));
         assertTrue(example.contains(shown.strip()), "the README shows the code of Example.java");
@@ -120,8 +120,8 @@
 
     @Test
     void theReadmeQuotesLogLinesThatTheModuleWrites() throws IOException {
-        String rules = Files.readString(Path.of("src/main/java/junctionhead/Balance.java"));
-        String page = Files.readString(Path.of("README.md"));
+        String rules = Files.readString(Path.of("src/main/java/junctionhead/policy/Balance.java"));
+        String page = Files.readString(Path.of("../README.md"));
         for (String line : List.of("overload: refusing, level ", "ejected ", " ms after failures",
                 "recovered ", "discovery failed ", " times, asking again")) {
             assertTrue(rules.contains(line),
--- a/src/test/java/junctionhead/ReconfigureTest.java
+++ b/core/src/test/java/junctionhead/policy/ReconfigureTest.java
@@ -1,10 +1,10 @@
-package junctionhead;
+package junctionhead.policy;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.Map;
-import junctionhead.Policy.ListKind;
+import junctionhead.policy.Policy.ListKind;
 import org.junit.jupiter.api.Test;
 
 /** What a module has learnt: over a change of settings, and in a successor. */
