--- /dev/null
+++ b/lab/src/main/java/junctionhead/lab/cli/RunCommand.java
@@ -0,0 +1,75 @@
+package junctionhead.lab.cli;
+
+import java.io.File;
+import java.io.IOException;
+import java.util.concurrent.Callable;
+import junctionhead.lab.experiment.Experiment;
+import junctionhead.lab.experiment.ExperimentReader;
+import junctionhead.lab.experiment.Results;
+import junctionhead.lab.experiment.Runner;
+import junctionhead.lab.report.HtmlReport;
+import junctionhead.lab.report.JsonReport;
+import junctionhead.lab.report.Table;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** {@code lab run}: plays an experiment and says whether what it expects holds. */
+@Command(name = "run", mixinStandardHelpOptions = true, sortOptions = false,
+    description = "Plays an experiment: prints the table, writes the page, says whether its expectations hold.",
+    footer = {"", "Examples:", "  bin/lab run experiments/booking-day.toml",
+        "  bin/lab run experiments/taken-out.toml --seeds 20 --json out.json --html out.html"})
+final class RunCommand implements Callable<Integer> {
+    /** What all commands that play experiments take. */
+    static final class Playing {
+        @Option(names = "--seed", description = "First seed, in place of the experiment's.")
+        private Long seed;
+        @Option(names = "--seeds", description = "How many seeds, in place of the experiment's.")
+        private Integer seeds;
+        @Option(names = "--threads", description = "Days played at once; as many as there are processors.")
+        private Integer threads;
+
+        Experiment applied(Experiment e) {
+            return e.on(seed == null ? e.firstSeed() : seed, seeds == null ? e.seeds() : Math.max(1, seeds));
+        }
+
+        int threads() {
+            return threads == null ? Runtime.getRuntime().availableProcessors() : Math.max(1, threads);
+        }
+
+        Results play(Experiment e) {
+            Bar bar = new Bar();
+            Results results = Runner.run(e, threads(), bar);
+            bar.end();
+            return results;
+        }
+    }
+
+    @Parameters(paramLabel = "FILE", description = "The experiment, a TOML file.")
+    private File file;
+    @Mixin
+    private Playing playing;
+    @Option(names = "--json", paramLabel = "FILE", description = "Writes all figures there.")
+    private File json;
+    @Option(names = "--html", paramLabel = "FILE",
+        description = "Writes the page there; lab/target/reports/NAME.html unless given.")
+    private File html;
+
+    @Override
+    public Integer call() throws IOException {
+        Experiment e = playing.applied(ExperimentReader.read(file.toPath()));
+        Results results = playing.play(e);
+        System.out.print(Table.of(results));
+        if (json != null) {
+            JsonReport.write(results, json);
+        }
+        File page = html == null ? new File("lab/target/reports", e.name() + ".html") : html;
+        if (page.getAbsoluteFile().getParentFile().mkdirs()) {
+            LabLog.of(RunCommand.class).debug("made the folder of {}", page);
+        }
+        HtmlReport.write(results, page);
+        LabLog.of(RunCommand.class).info("page written to {}", page);
+        return results.verdicts().stream().allMatch(v -> v.holds()) ? 0 : 1;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/junctionhead/lab/hunt/Hunt.java
@@ -0,0 +1,220 @@
+package junctionhead.lab.hunt;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import junctionhead.lab.experiment.Experiment;
+import junctionhead.lab.experiment.Runner;
+import junctionhead.lab.judge.Day;
+import junctionhead.lab.sim.Draws;
+import junctionhead.lab.sim.Streams;
+import junctionhead.lab.variants.Variants;
+import junctionhead.lab.variants.Variants.Variant;
+import junctionhead.lab.world.PolicyMaker;
+import junctionhead.lab.world.Range;
+import junctionhead.lab.world.Timeline;
+import junctionhead.lab.world.WorldPlan;
+import junctionhead.lab.world.WorldPlan.Trouble;
+
+/**
+ * Draws worlds with random troubles, plays them, and keeps those in which a rule breaks or a collapse stays when
+ * its cause has gone. A find is shrunk by delta debugging (Zeller): whatever can go without losing it goes.
+ */
+public final class Hunt {
+    private static final long SECOND = 1_000_000;
+    private static final int TROUBLES = 5;
+    private static final long CALM = 12 * SECOND;           // after the last trouble, to recover in
+    private static final int LAST = 4;                      // s at the end that show a collapse
+    private static final double COLLAPSED = 0.5;            // of the worth before the first trouble, or without any
+    private static final int MOST_RUNS = 60;
+
+    /** A world that shows something; {@code runs}: days played to make it as small as it is. */
+    public record Find(long seed, WorldPlan plan, Variant variant, String what, int runs) { }
+
+    private final Experiment experiment;
+    private final Streams streams;
+    private final int threads;
+    private final Variant variant;
+    private final PolicyMaker maker;
+
+    public Hunt(Experiment experiment, long seed, int threads) {
+        this.experiment = experiment;
+        this.streams = new Streams(seed);
+        this.threads = threads;
+        this.variant = experiment.variants().get(0);
+        this.maker = Variants.maker(variant);
+    }
+
+    /** Plays that many worlds; what was found, in the order of the worlds. */
+    public List<Find> search(int worlds, Runner.Progress progress) {
+        ExecutorService pool = Executors.newFixedThreadPool(Math.max(1, threads));
+        try {
+            List<Future<Find>> playing = new ArrayList<>();
+            java.util.concurrent.atomic.AtomicInteger done = new java.util.concurrent.atomic.AtomicInteger();
+            for (int i = 0; i < worlds; i++) {
+                long number = i;
+                playing.add(pool.submit(() -> {
+                    long seed = streams.seed("world", number) >>> 32;
+                    WorldPlan plan = draw(streams.of("hunt", number, "troubles"));
+                    String what = shows(plan, seed);
+                    progress.played(done.incrementAndGet(), worlds);
+                    return what == null ? null : new Find(seed, plan, variant, what, 1);
+                }));
+            }
+            List<Find> finds = new ArrayList<>();
+            for (Future<Find> f : playing) {
+                if (f.get() != null) {
+                    finds.add(f.get());
+                }
+            }
+            return finds;
+        } catch (ExecutionException e) {
+            throw new IllegalStateException("a world failed: " + e.getCause(), e.getCause());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted", e);
+        } finally {
+            pool.shutdownNow();
+        }
+    }
+
+    private WorldPlan draw(Draws draws) {
+        List<String> kinds = Timeline.KINDS.keySet().stream().sorted().toList();
+        long length = Math.max(experiment.plan().length(), 30 * SECOND);
+        int many = 1 + draws.below(TROUBLES);
+        List<Trouble> troubles = new ArrayList<>();
+        for (int i = 0; i < many; i++) {
+            String kind = kinds.get(draws.below(kinds.size()));
+            double at = draws.between(3 * SECOND, (length - CALM) / 2.0);
+            double last = Math.min(draws.between(SECOND, 12 * SECOND), length - CALM - at);
+            troubles.add(new Trouble(kind, Range.of(Math.rint(at)), Range.of(Math.rint(Math.max(SECOND, last))),
+                Range.of(round(part(kind, draws.uniform()))), Range.of(round(size(kind, draws.uniform()))),
+                Range.of(round(extra(kind, draws.uniform())))));
+        }
+        return experiment.plan().lasting(length).with(troubles);
+    }
+
+    private static double round(double v) {
+        return Math.rint(v * 1000) / 1000;
+    }
+
+    private static double part(String kind, double u) {
+        return kind.equals("deploy") || kind.startsWith("balancers") ? 0.3 + 0.65 * u : 0.05 + 0.25 * u;
+    }
+
+    private static double size(String kind, double u) {
+        return switch (kind) {
+            case "slow" -> 2 + 8 * u;
+            case "shared_slow", "network_slow" -> 1.3 + 1.7 * u;
+            case "fast_errors", "grey" -> 0.3 + 0.7 * u;
+            case "hot_key" -> 0.03 + 0.22 * u;
+            case "deploy" -> 0.08 + 0.12 * u;
+            case "burst" -> 1.2 + 0.8 * u;
+            case "retry_storm" -> 1 + Math.floor(5 * u);
+            case "loss" -> 0.002 + 0.03 * u;
+            default -> u < 0.5 ? 0 : 1;
+        };
+    }
+
+    private static double extra(String kind, double u) {
+        return switch (kind) {
+            case "deploy" -> 2 + 4 * u;
+            case "hot_key" -> 1 + Math.floor(3 * u);
+            case "grey" -> 1 + 3 * u;
+            case "clock_step" -> -5 + 10 * u;
+            default -> 0.2 + 2 * u;
+        };
+    }
+
+    /** What that world shows, in plain words; null where nothing is wrong. */
+    private String shows(WorldPlan plan, long seed) {
+        Day day = Day.play(plan, seed, maker);
+        if (!day.broken().isEmpty()) {
+            return "rule " + day.broken().get(0).rule() + " broken";
+        }
+        double before = mean(day, 0, (int) Math.max(1, first(plan)));
+        double after = atTheEnd(day);
+        if (after >= COLLAPSED * before) {
+            return null;
+        }
+        // The load may be what ends it: the same world without troubles tells.
+        double calm = atTheEnd(Day.play(plan.with(List.of()), seed, maker));
+        return after < COLLAPSED * calm ? "a collapse that outlives its cause" : null;
+    }
+
+    private static double first(WorldPlan plan) {
+        return plan.troubles().stream().mapToDouble(t -> t.at().least()).min().orElse(0) / SECOND;
+    }
+
+    private static double atTheEnd(Day day) {
+        int seconds = day.series().worth().length;
+        return mean(day, Math.max(0, seconds - LAST), seconds);
+    }
+
+    private static double mean(Day day, int from, int to) {
+        double[] values = day.series().worth();
+        double sum = 0;
+        for (int i = from; i < to; i++) {
+            sum += values[i];
+        }
+        return to <= from ? 1 : sum / (to - from);
+    }
+
+    /** The smallest world and timeline found that still shows the same. */
+    public Find shrink(Find find) {
+        WorldPlan plan = find.plan();
+        int runs = 0;
+        boolean smaller = true;
+        while (smaller && runs < MOST_RUNS) {
+            smaller = false;
+            for (WorldPlan next : steps(plan)) {
+                runs++;
+                if (find.what().equals(shows(next, find.seed()))) {
+                    plan = next;
+                    smaller = true;
+                    break;
+                }
+                if (runs >= MOST_RUNS) {
+                    break;
+                }
+            }
+        }
+        return new Find(find.seed(), plan, variant, find.what(), runs);
+    }
+
+    private static List<WorldPlan> steps(WorldPlan plan) {
+        List<WorldPlan> all = new ArrayList<>();
+        for (int i = 0; i < plan.troubles().size() && plan.troubles().size() > 1; i++) {
+            List<Trouble> fewer = new ArrayList<>(plan.troubles());
+            fewer.remove(i);
+            all.add(plan.with(fewer));
+        }
+        if (plan.balancers().most() >= 2) {
+            all.add(plan.sized(half(plan.balancers(), 1), plan.upstreams()));
+        }
+        if (plan.upstreams().most() >= 4) {
+            all.add(plan.sized(plan.balancers(), half(plan.upstreams(), 2)));
+        }
+        double end = plan.troubles().stream().mapToDouble(t -> t.at().most() + t.length().most()).max().orElse(0);
+        if (plan.length() > end + CALM + SECOND) {
+            all.add(plan.lasting(Math.round((end + CALM) / SECOND) * SECOND));
+        }
+        for (int i = 0; i < plan.troubles().size(); i++) {
+            Trouble t = plan.troubles().get(i);
+            if (t.length().most() >= 2 * SECOND) {
+                List<Trouble> shorter = new ArrayList<>(plan.troubles());
+                shorter.set(i, new Trouble(t.kind(), t.at(), Range.of(Math.rint(t.length().most() / 2)), t.part(),
+                    t.size(), t.extra()));
+                all.add(plan.with(shorter));
+            }
+        }
+        return all;
+    }
+
+    private static Range half(Range r, int least) {
+        return Range.of(Math.max(least, Math.floor(r.most() / 2)));
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/junctionhead/lab/judge/Judge.java
@@ -0,0 +1,186 @@
+package junctionhead.lab.judge;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import junctionhead.lab.judge.Broken.Rule;
+import junctionhead.lab.world.Attempt;
+import junctionhead.lab.world.Balancer;
+import junctionhead.lab.world.ClientRequest;
+import junctionhead.lab.world.Clients;
+import junctionhead.lab.world.Observer;
+import junctionhead.lab.world.Taken;
+import junctionhead.lab.world.Upstream;
+import junctionhead.lab.world.World;
+import junctionhead.lab.world.WorldPlan;
+import junctionhead.policy.Policy;
+
+/** Holds every event of a day against the rules. It sees all of them, not samples. */
+public final class Judge implements Observer {
+    private static final int MOST = 100;
+    private static final double TOLD_PART = 2 / 3.0;
+
+    /** What one balancer has been told of one upstream. */
+    private static final class Told {
+        private Policy.State state = Policy.State.UP;
+        private long endsSince;
+        private long start;
+    }
+
+    private final WorldPlan plan;
+    private final Score score;
+    private final List<Broken> broken = new ArrayList<>();
+    private final Map<Balancer, Map<String, Told>> told = new HashMap<>();
+    private long count;
+
+    public Judge(WorldPlan plan, Score score) {
+        this.plan = plan;
+        this.score = score;
+    }
+
+    /** Broken rules, the first hundred of them. */
+    public List<Broken> broken() {
+        return broken;
+    }
+
+    /** How many rules were broken in all. */
+    public long count() {
+        return count;
+    }
+
+    private void breach(Rule rule, long now, String subject, String what, Taken t) {
+        count++;
+        if (broken.size() < MOST) {
+            List<String> chain = new ArrayList<>();
+            if (t != null) {
+                for (Taken.Step s : t.steps()) {
+                    chain.add(time(s.at()) + " " + s.what());
+                }
+            }
+            broken.add(new Broken(rule, now - World.began(), subject, what, List.copyOf(chain)));
+        }
+    }
+
+    private static String time(long at) {
+        return String.format(Locale.ROOT, "%.6f s", (at - World.began()) / 1e6);
+    }
+
+    @Override
+    public void taken(Taken request, long now) {
+        score.taken(now);
+    }
+
+    @Override
+    public void sending(Attempt a, long now) {
+        Taken t = a.taken();
+        score.sent(t.attempts().size(), now);
+        if (t.answered()) {
+            breach(Rule.MALFORMED, now, t.id(), "sent after its final answer", t);
+        }
+        if (t.out() > 0 && !plan.rules().secondCopies()) {
+            breach(Rule.TWO_AT_ONCE, now, t.id(), "sent to " + a.target() + " while another attempt is out", t);
+        }
+        boolean mayHaveRun = t.attempts().stream().anyMatch(Attempt::mayHaveRun);
+        if (mayHaveRun && plan.classes().get(t.client().kind()).effect() == Policy.Effect.UNSAFE) {
+            breach(Rule.DUPLICATE, now, t.id(), "sent again to " + a.target() + " though it may have run", t);
+        }
+        Map<String, Told> known = told.get(t.at());
+        Told entry = known == null ? null : known.get(a.target());
+        long since = entry != null && entry.state != Policy.State.UP ? entry.endsSince : Long.MAX_VALUE;
+        since = Math.min(since, t.at().deemedTold(a.target()));
+        if (since != Long.MAX_VALUE && now - since > plan.rules().drainGrace()) {
+            breach(Rule.DRAIN, now, t.id(), "sent to " + a.target() + " " + (now - since) / 1000
+                + " ms after balancer " + t.at().rank() + " was told that it drains or is gone", t);
+        }
+    }
+
+    @Override
+    public void outcome(Attempt a, Policy.Outcome outcome, long now) {
+        score.outcome(outcome, now);
+    }
+
+    @Override
+    public void answered(Taken t, Clients.End end, long retryAfter, long now) {
+        score.answered(end, now);
+        boolean unsafe = plan.classes().get(t.client().kind()).effect() == Policy.Effect.UNSAFE;
+        if (end == Clients.End.REFUSED && unsafe && t.attempts().stream().anyMatch(Attempt::mayHaveRun)) {
+            breach(Rule.DUPLICATE, now, t.id(), "refused, which invites another try, though it may have run", t);
+        }
+        if (end == Clients.End.REFUSED && retryAfter > plan.rules().retryAfterMax()) {
+            breach(Rule.MALFORMED, now, t.id(), "told to come back after " + retryAfter + " µs, more than allowed", t);
+        }
+    }
+
+    @Override
+    public void answeredTwice(Taken t, Clients.End end, long now) {
+        breach(Rule.ANSWERED_TWICE, now, t.id(), end + " after its final answer", t);
+    }
+
+    @Override
+    public void overdue(Taken t, long now) {
+        breach(Rule.LOST, now, t.id(), "no final answer in time", t);
+    }
+
+    @Override
+    public void told(Balancer b, Policy.ListKind kind, List<Policy.Server> servers, long now) {
+        if (kind == Policy.ListKind.PERSISTED) {
+            told.keySet().removeIf(other -> other.rank() == b.rank() && other.incarnation() < b.incarnation() - 1);
+        }
+        Map<String, Told> known = told.computeIfAbsent(b, x -> new HashMap<>());
+        Set<String> listed = new HashSet<>();
+        for (Policy.Server s : servers) {
+            listed.add(s.id());
+            Told t = known.computeIfAbsent(s.id(), x -> new Told());
+            if (s.state() != Policy.State.UP && t.state == Policy.State.UP) {
+                t.endsSince = now;
+            }
+            t.state = s.state();
+            t.start = s.startedAt();
+        }
+        if (kind == Policy.ListKind.COMPLETE || kind == Policy.ListKind.PERSISTED) {
+            known.forEach((id, t) -> {
+                if (!listed.contains(id) && t.state == Policy.State.UP) {
+                    t.state = Policy.State.GONE;
+                    t.endsSince = now;
+                }
+            });
+        }
+        score.told(kind);
+    }
+
+    @Override
+    public boolean knowsStart(Balancer b, Upstream u) {
+        Map<String, Told> known = told.get(b);
+        Told t = known == null ? null : known.get(u.id());
+        return t != null && t.start >= u.saidStart();
+    }
+
+    @Override
+    public void fell(Upstream u, double toldPart, long now) {
+        score.fell();
+        if (toldPart >= TOLD_PART) {
+            breach(Rule.COLD, now, u.id(), String.format(Locale.ROOT,
+                "fell over while cold; %.0f%% of the work came from balancers that knew of its start",
+                100 * toldPart), null);
+        }
+    }
+
+    @Override
+    public void malformed(Balancer b, String what, Taken request, long now) {
+        breach(Rule.MALFORMED, now, request == null ? "balancer " + b.rank() : request.id(), what, request);
+    }
+
+    @Override
+    public void asked(ClientRequest request, long now) {
+        score.asked(request, now);
+    }
+
+    @Override
+    public void over(ClientRequest request, boolean served, long now) {
+        score.over(request, served, now);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/junctionhead/lab/judge/Score.java
@@ -0,0 +1,260 @@
+package junctionhead.lab.judge;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import junctionhead.lab.world.ClientRequest;
+import junctionhead.lab.world.Clients;
+import junctionhead.lab.world.Timeline;
+import junctionhead.lab.world.World;
+import junctionhead.lab.world.WorldPlan;
+import junctionhead.policy.Policy;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Counts what a day was worth, as the operators do: worth answered within the aim over worth asked for, over the
+ * whole day, in the worst 10 s, for the worst class and the worst tenant within its share, less the prices.
+ */
+public final class Score {
+    private static final long SECOND = 1_000_000;
+    private static final int WINDOW = 10;
+    private static final double OVER_SHARE = 0.1;
+    private static final double BACK = 0.95;                // of the level before: a service has recovered
+    private static final long LONGEST = 60 * SECOND;
+
+    private final WorldPlan plan;
+    private final int seconds;
+    private final double[] asked;
+    private final double[] got;
+    private final double[][] classes;
+    private final double[][] tenants;
+    private final long[] arrivals;
+    private final long[] refusals;
+    private final long[] attempts;
+    private final Histogram[] latencies;
+    private final Map<Policy.Outcome, Long> outcomes = new java.util.EnumMap<>(Policy.Outcome.class);
+    private final Map<Clients.End, Long> ends = new java.util.EnumMap<>(Clients.End.class);
+    private double lateLost;
+    private long firstTries;
+    private long served;
+    private long taken;
+    private long sends;
+    private long further;
+    private long fallen;
+    private long lists;
+    private final List<int[]> held = new ArrayList<>();
+
+    /** What a day came to, second by second; {@code held}: requests in each upstream, -1 where it is gone. */
+    public record Series(double[] worth, long[] arrivals, long[] refusals, long[] attempts, List<int[]> held,
+            List<String> upstreams, List<Timeline.Spell> spells, List<double[]> percentiles) { }
+
+    public Score(WorldPlan plan) {
+        this.plan = plan;
+        seconds = (int) ((plan.length() + SECOND - 1) / SECOND);
+        asked = new double[seconds];
+        got = new double[seconds];
+        arrivals = new long[seconds];
+        refusals = new long[seconds];
+        attempts = new long[seconds];
+        classes = new double[plan.classes().size()][2];
+        tenants = new double[plan.tenants().size()][2];
+        latencies = new Histogram[classes.length];
+        for (int i = 0; i < latencies.length; i++) {
+            latencies[i] = new Histogram(LONGEST, 3);
+        }
+    }
+
+    /** Names of the figures that a day in such a world comes to. */
+    public static List<String> names(WorldPlan plan) {
+        return new ArrayList<>(new Score(plan).figures(new World.Costs(0, 0, 0, 0, 0, 0, 0, 0, 0, 0), 0,
+            List.of()).keySet());
+    }
+
+    private int second(long now) {
+        return (int) Math.max(0, Math.min(seconds - 1, (now - World.began()) / SECOND));
+    }
+
+    private double worth(ClientRequest r) {
+        return plan.classes().get(r.kind()).worth() * (r.overShare() ? OVER_SHARE : 1);
+    }
+
+    void asked(ClientRequest r, long now) {
+        double worth = worth(r);
+        firstTries++;
+        asked[second(now)] += worth;
+        arrivals[second(now)]++;
+        classes[r.kind()][0] += worth;
+        if (tenants.length > 0 && !r.overShare()) {
+            tenants[r.tenant()][0] += worth;
+        }
+    }
+
+    void over(ClientRequest r, boolean wasServed, long now) {
+        WorldPlan.RequestKind kind = plan.classes().get(r.kind());
+        long latency = now - r.firstAt();
+        double worth = worth(r);
+        if (!wasServed) {
+            lateLost += latency > kind.aim() ? worth : 0;
+            return;
+        }
+        served++;
+        latencies[r.kind()].recordValue(Math.max(1, Math.min(LONGEST, latency)));
+        double gained = latency <= kind.aim() ? worth : latency <= kind.deadline() ? worth * kind.lateWorth() : 0;
+        got[second(r.firstAt())] += gained;
+        classes[r.kind()][1] += gained;
+        if (tenants.length > 0 && !r.overShare()) {
+            tenants[r.tenant()][1] += gained;
+        }
+    }
+
+    void taken(long now) {
+        taken++;
+    }
+
+    void sent(int earlier, long now) {
+        sends++;
+        further += earlier > 0 ? 1 : 0;
+        attempts[second(now)]++;
+    }
+
+    void outcome(Policy.Outcome outcome, long now) {
+        outcomes.merge(outcome, 1L, Long::sum);
+    }
+
+    void answered(Clients.End end, long now) {
+        ends.merge(end, 1L, Long::sum);
+        refusals[second(now)] += end == Clients.End.REFUSED ? 1 : 0;
+    }
+
+    void fell() {
+        fallen++;
+    }
+
+    void told(Policy.ListKind kind) {
+        lists++;
+    }
+
+    void sample(int[] inUpstreams) {
+        held.add(inUpstreams);
+    }
+
+    Series series(World world) {
+        double[] worth = new double[seconds];
+        for (int i = 0; i < seconds; i++) {
+            worth[i] = asked[i] <= 0 ? 1 : got[i] / asked[i];
+        }
+        List<double[]> percentiles = new ArrayList<>();
+        for (Histogram h : latencies) {
+            double[] ms = new double[101];
+            for (int p = 0; p < ms.length; p++) {
+                ms[p] = h.getValueAtPercentile(p == 100 ? 99.9 : p) / 1000.0;
+            }
+            percentiles.add(ms);
+        }
+        return new Series(worth, arrivals, refusals, attempts, held, world.ids(), world.spells(), percentiles);
+    }
+
+    /** All figures of the day by name; shares from 0 to 1, times in the unit that the name ends with. */
+    Map<String, Double> figures(World.Costs costs, long brokenRules, List<Timeline.Spell> spells) {
+        Map<String, Double> f = new LinkedHashMap<>();
+        double allAsked = sum(asked, 0, seconds);
+        double whole = ratio(sum(got, 0, seconds), allAsked);
+        double window = worstWindow();
+        double worstClass = worst(classes);
+        double worstTenant = worst(tenants);
+        WorldPlan.Goal g = plan.goal();
+        WorldPlan.Prices p = plan.prices();
+        double first = Math.max(1, firstTries);
+        double price = p.crossZone() * costs.crossings() / first + p.handshake() * costs.handshakes() / first
+            + p.probe() * costs.probes() / first + p.waste() * ratio0(costs.wastedWork(), costs.offeredWork())
+            + p.lateFail() * ratio0(lateLost, allAsked);
+        f.put("G", g.whole() * whole + g.worstWindow() * window + g.worstClass() * worstClass
+            + g.worstTenant() * worstTenant - price);
+        f.put("rules.broken", (double) brokenRules);
+        f.put("whole", whole);
+        f.put("worst_window", window);
+        f.put("worst_class", worstClass);
+        f.put("worst_tenant", worstTenant);
+        f.put("price", price);
+        f.put("served", served / first);
+        f.put("refused", ends.getOrDefault(Clients.End.REFUSED, 0L) / Math.max(1.0, taken));
+        f.put("failed", ends.getOrDefault(Clients.End.FAILED, 0L) / Math.max(1.0, taken));
+        f.put("attempts", sends / Math.max(1.0, taken));
+        f.put("further_attempts", further / Math.max(1.0, taken));
+        for (Policy.Outcome o : Policy.Outcome.values()) {
+            f.put("attempts." + o.name().toLowerCase(java.util.Locale.ROOT),
+                outcomes.getOrDefault(o, 0L) / Math.max(1.0, sends));
+        }
+        for (int i = 0; i < latencies.length; i++) {
+            String name = plan.classes().get(i).name();
+            f.put("class." + name, ratio(classes[i][1], classes[i][0]));
+            f.put("p50_ms." + name, latencies[i].getValueAtPercentile(50) / 1000.0);
+            f.put("p99_ms." + name, latencies[i].getValueAtPercentile(99) / 1000.0);
+        }
+        f.put("recovery_s", recovery(spells));
+        f.put("wasted", ratio0(costs.wastedWork(), costs.offeredWork()));
+        f.put("handshakes", costs.handshakes() / first);
+        f.put("crossings", costs.crossings() / first);
+        f.put("probes", costs.probes() / first);
+        f.put("register_calls", (double) costs.registerCalls());
+        f.put("lists", (double) lists);
+        f.put("fallen", (double) fallen);
+        f.put("requests", (double) firstTries);
+        f.put("events", (double) costs.events());
+        return f;
+    }
+
+    private double worstWindow() {
+        double worst = 1;
+        for (int i = 0; i + Math.min(WINDOW, seconds) <= seconds; i++) {
+            int to = i + Math.min(WINDOW, seconds);
+            double wanted = sum(asked, i, to);
+            worst = wanted <= 0 ? worst : Math.min(worst, sum(got, i, to) / wanted);
+        }
+        return worst;
+    }
+
+    private static double worst(double[][] parts) {
+        double worst = 1;
+        for (double[] p : parts) {
+            worst = p[0] <= 0 ? worst : Math.min(worst, p[1] / p[0]);
+        }
+        return worst;
+    }
+
+    // From the end of the last trouble until two seconds running are back near the level of before the first.
+    private double recovery(List<Timeline.Spell> spells) {
+        if (spells.isEmpty()) {
+            return 0;
+        }
+        long first = spells.stream().mapToLong(Timeline.Spell::from).min().getAsLong();
+        long last = spells.stream().mapToLong(Timeline.Spell::to).max().getAsLong();
+        int before = (int) Math.max(1, Math.min(seconds, first / SECOND));
+        double level = BACK * ratio(sum(got, 0, before), sum(asked, 0, before));
+        int from = (int) Math.min(seconds, last / SECOND);
+        for (int i = from; i + 2 <= seconds; i++) {
+            double wanted = sum(asked, i, i + 2);
+            if (wanted <= 0 || sum(got, i, i + 2) / wanted >= level) {
+                return Math.max(0, i - from);
+            }
+        }
+        return Math.max(0, seconds - from);
+    }
+
+    private static double sum(double[] values, int from, int to) {
+        double sum = 0;
+        for (int i = from; i < to; i++) {
+            sum += values[i];
+        }
+        return sum;
+    }
+
+    private static double ratio(double part, double all) {
+        return all <= 0 ? 1 : part / all;
+    }
+
+    private static double ratio0(double part, double all) {
+        return all <= 0 ? 0 : part / all;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/junctionhead/lab/sim/Streams.java
@@ -0,0 +1,41 @@
+package junctionhead.lab.sim;
+
+import org.apache.commons.rng.simple.RandomSource;
+
+/**
+ * Independent streams of random numbers, one for each party and concern, derived from one seed by name. What one
+ * party draws, or how often, leaves every other's draws alone: two variants of an experiment meet the same world.
+ */
+public final class Streams {
+    private final long seed;
+
+    public Streams(long seed) {
+        this.seed = seed;
+    }
+
+    /** The stream of a party's concern: the same names give the same numbers. */
+    public Draws of(String party, long number, String concern) {
+        long a = mix(seed ^ hash(party));
+        long b = mix(a + number * 0x9e3779b97f4a7c15L) ^ hash(concern);
+        return new Draws(RandomSource.XO_RO_SHI_RO_128_PP.create(new long[] {mix(a ^ b), mix(b + 1)}));
+    }
+
+    /** A seed for a party that draws for itself. */
+    public long seed(String party, long number) {
+        return mix(mix(seed ^ hash(party)) + number * 0x9e3779b97f4a7c15L);
+    }
+
+    private static long hash(String text) {                 // FNV-1a, 64 bits
+        long h = 0xcbf29ce484222325L;
+        for (int i = 0; i < text.length(); i++) {
+            h = (h ^ text.charAt(i)) * 0x100000001b3L;
+        }
+        return h;
+    }
+
+    private static long mix(long value) {                   // the finalizer of SplitMix64
+        long z = (value ^ value >>> 30) * 0xbf58476d1ce4e5b9L;
+        z = (z ^ z >>> 27) * 0x94d049bb133111ebL;
+        return z ^ z >>> 31;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/junctionhead/lab/variants/TextbookPolicy.java
@@ -0,0 +1,248 @@
+package junctionhead.lab.variants;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import junctionhead.lab.policies.Chooser;
+import junctionhead.lab.policies.ServerView;
+import junctionhead.lab.sim.Draws;
+import junctionhead.lab.world.Truth;
+import junctionhead.policy.Policy;
+
+/**
+ * A textbook policy made into a whole module: the chooser picks among the listed servers by this balancer's own
+ * attempts in flight; a request goes again where its class allows, to another server, while attempts are left.
+ * It neither sheds load nor learns health. Cold servers are met in proportion to their warmth as the rules
+ * promise it, or textbook policies would push each of them over.
+ */
+final class TextbookPolicy implements Policy {
+    private static final int COLD_DRAWS = 4;
+    private static final long WAKE = 1_000_000;
+
+    private static final class Server {
+        final Policy.Server entry;
+        int inFlight;
+
+        Server(Policy.Server entry) {
+            this.entry = entry;
+        }
+    }
+
+    private static final class Open {
+        final int kind;
+        final long deadline;
+        final List<Server> tried = new ArrayList<>(2);
+        boolean mayHaveRun;
+
+        Open(int kind, long deadline) {
+            this.kind = kind;
+            this.deadline = deadline;
+        }
+    }
+
+    private final Settings settings;
+    private final Chooser chooser;
+    private final Draws draws;
+    private final Truth truth;
+    private final Map<String, Server> servers = new LinkedHashMap<>();
+    private final Map<String, Open> open = new HashMap<>();
+    private List<Server> up = List.of();
+    private final View view = new View();
+    private long askAt = Long.MAX_VALUE;
+    private boolean waking;
+
+    TextbookPolicy(Settings settings, Chooser chooser, Draws draws, Truth truth) {
+        this.settings = settings;
+        this.chooser = chooser;
+        this.draws = draws;
+        this.truth = truth;
+    }
+
+    /** Id of a server by its number in the view. */
+    String idAt(int server) {
+        return up.get(server).entry.id();
+    }
+
+    private final class View implements ServerView {
+        @Override
+        public int size() {
+            return up.size();
+        }
+
+        @Override
+        public int queue(int server) {
+            return up.get(server).inFlight;
+        }
+
+        @Override
+        public double rate(int server) {
+            return truth.nominal(up.get(server).entry.id());
+        }
+
+        @Override
+        public boolean fast(int server) {
+            return truth.fast(up.get(server).entry.id());
+        }
+    }
+
+    @Override
+    public void servers(long now, ListKind kind, List<Policy.Server> list, Actions out) {
+        if (kind == ListKind.FAILED) {
+            askAt = now + 500_000 + draws.below(500_000);
+        } else if (kind == ListKind.PERSISTED) {
+            ask(now, out);
+        } else if (kind != ListKind.OWN) {
+            askAt = Long.MAX_VALUE;
+        }
+        if (!waking) {
+            waking = true;
+            out.wakeAfter(WAKE);
+        }
+        if (kind == ListKind.FAILED) {
+            return;
+        }
+        List<Server> before = up;
+        if (kind == ListKind.COMPLETE) {
+            servers.keySet().retainAll(list.stream().map(Policy.Server::id).toList());
+        }
+        for (Policy.Server s : list) {
+            Server known = servers.get(s.id());
+            Server next = new Server(s);
+            if (known != null && known.entry.startedAt() == s.startedAt()) {
+                next.inFlight = known.inFlight;
+            }
+            servers.put(s.id(), next);
+        }
+        up = servers.values().stream().filter(s -> s.entry.state() == State.UP).toList();
+        Map<String, Integer> places = new HashMap<>();
+        for (int i = 0; i < before.size(); i++) {
+            places.put(before.get(i).entry.id(), i);
+        }
+        chooser.renumber(up.stream().mapToInt(s -> places.getOrDefault(s.entry.id(), -1)).toArray());
+    }
+
+    private void ask(long now, Actions out) {
+        if (settings.discovery() == Discovery.ASK) {
+            askAt = now + settings.bounds().askWithin() / 2;
+            out.watch(true);
+        }
+    }
+
+    @Override
+    public void request(long now, String id, int kind, int tenant, String key, long timeLeft, long work,
+            boolean resubmission, Actions out) {
+        Open o = new Open(kind, now + timeLeft);
+        open.put(id, o);
+        send(id, o, now, out);
+    }
+
+    private void send(String id, Open o, long now, Actions out) {
+        if (up.isEmpty()) {
+            finish(id, o, out);
+            return;
+        }
+        int chosen = -1;
+        for (int i = 0; i < COLD_DRAWS; i++) {
+            chosen = chooser.choose(view, draws);
+            Server s = up.get(chosen);
+            boolean again = up.size() > 1 && o.tried.contains(s);
+            if (!again && draws.uniform() < promisedWarmth(s.entry, now)) {
+                break;
+            }
+            chosen = -1;
+        }
+        if (chosen < 0) {
+            chosen = warmest(now);
+        }
+        chooser.dispatched(chosen);
+        Server s = up.get(chosen);
+        s.inFlight++;
+        o.tried.add(s);
+        out.send(id, s.entry.id(), 0);
+    }
+
+    private int warmest(long now) {
+        int from = draws.below(up.size());
+        for (int i = 0; i < up.size(); i++) {
+            int at = (from + i) % up.size();
+            if (promisedWarmth(up.get(at).entry, now) >= 1) {
+                return at;
+            }
+        }
+        return from;
+    }
+
+    private double promisedWarmth(Policy.Server s, long now) {
+        Bounds b = settings.bounds();
+        long age = now - s.startedAt();
+        if (s.startedAt() <= 0 || age >= b.rampTime()) {
+            return 1;
+        }
+        return b.coldFrom() * Math.max(0.1, age / (double) b.rampTime());
+    }
+
+    private void finish(String id, Open o, Actions out) {
+        open.remove(id);
+        boolean harmless = !o.mayHaveRun || settings.classes().get(o.kind).effect() == Effect.SAFE;
+        if (harmless) {
+            out.refuse(id, 0);
+        } else {
+            out.fail(id);
+        }
+    }
+
+    @Override
+    public void outcome(long now, String id, int attempt, Outcome outcome, long latency, boolean closed, Load load,
+            Actions out) {
+        Open o = open.get(id);
+        if (o == null || attempt >= o.tried.size()) {
+            return;
+        }
+        Server s = o.tried.get(attempt);
+        s.inFlight = Math.max(0, s.inFlight - 1);
+        Server listed = servers.get(s.entry.id());
+        if (listed != null && listed != s && listed.entry.startedAt() == s.entry.startedAt()) {
+            listed.inFlight = Math.max(0, listed.inFlight - 1);
+        }
+        o.mayHaveRun |= !outcome.neverRan();
+        if (closed) {
+            open.remove(id);
+            return;
+        }
+        boolean may = outcome.neverRan() || settings.classes().get(o.kind).effect() == Effect.SAFE;
+        if (may && outcome != Outcome.NOT_SENT && now < o.deadline
+                && o.tried.size() < settings.limits().maxAttempts()) {
+            send(id, o, now, out);
+        } else {
+            finish(id, o, out);
+        }
+    }
+
+    @Override
+    public void clientGone(long now, String id, Actions out) {
+        Open o = open.remove(id);
+        if (o != null && !o.tried.isEmpty()) {
+            Server s = o.tried.get(o.tried.size() - 1);
+            s.inFlight = Math.max(0, s.inFlight - 1);
+            if (settings.limits().mayCancel()) {
+                out.cancel(id, o.tried.size() - 1);
+            }
+        }
+    }
+
+    @Override
+    public void streamStarted(long now, String id, int attempt, Actions out) { }
+
+    @Override
+    public void probed(long now, String server, Outcome outcome, long latency, Load load, Actions out) { }
+
+    @Override
+    public void wake(long now, Actions out) {
+        if (now >= askAt) {
+            ask(now, out);
+        }
+        out.wakeAfter(WAKE);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/junctionhead/lab/variants/Variants.java
@@ -0,0 +1,88 @@
+package junctionhead.lab.variants;
+
+import java.util.ArrayList;
+import java.util.List;
+import junctionhead.lab.policies.Chooser;
+import junctionhead.lab.policies.Choosers;
+import junctionhead.lab.policies.ServerView;
+import junctionhead.lab.sim.Draws;
+import junctionhead.lab.sim.Streams;
+import junctionhead.lab.world.PolicyMaker;
+import junctionhead.lab.world.Truth;
+import junctionhead.policy.Balance;
+
+/** The policies that worlds can be played under, by name. */
+public final class Variants {
+    /** The program's own module. */
+    public static final String OWN = "balance";
+    /** The one that sees the true state of all upstreams. */
+    public static final String SEER = "seer";
+    private static final String LEAST_IN_FLIGHT = "least-in-flight";
+
+    /** A variant of an experiment: its name, the policy, and the figures of a sampling one. */
+    public record Variant(String name, String policy, Choosers.Figures figures) { }
+
+    private Variants() { }
+
+    /** All names that {@link #maker} takes. */
+    public static List<String> names() {
+        List<String> names = new ArrayList<>(List.of(OWN, SEER, LEAST_IN_FLIGHT));
+        names.addAll(Choosers.NAMES);
+        return names;
+    }
+
+    /**
+     * What makes a variant's modules.
+     *
+     * @throws IllegalArgumentException for a policy that there isn't
+     */
+    public static PolicyMaker maker(Variant v) {
+        if (v.policy.equals(OWN)) {
+            return (settings, seed, truth) -> new Balance(settings, seed);
+        }
+        if (!names().contains(v.policy)) {
+            throw new IllegalArgumentException("no policy '" + v.policy + "'");
+        }
+        return (settings, seed, truth) -> {
+            Draws draws = new Streams(seed).of("policy", 0, "choice");
+            Seer seer = new Seer(truth, settings.zone());
+            Chooser chooser = v.policy.equals(SEER) ? seer
+                : Choosers.named(v.policy.equals(LEAST_IN_FLIGHT) ? "jsq" : v.policy, v.figures);
+            TextbookPolicy policy = new TextbookPolicy(settings, chooser, draws, truth);
+            seer.sees(policy);
+            return policy;
+        };
+    }
+
+    /** Sends to where the answer would come first, given the true state. */
+    private static final class Seer implements Chooser {
+        private final Truth truth;
+        private final int zone;
+        private TextbookPolicy policy;
+
+        Seer(Truth truth, int zone) {
+            this.truth = truth;
+            this.zone = zone;
+        }
+
+        void sees(TextbookPolicy own) {
+            policy = own;
+        }
+
+        @Override
+        public int choose(ServerView view, Draws draws) {
+            int best = -1;
+            double least = 0;
+            int from = draws.below(view.size());
+            for (int i = 0; i < view.size(); i++) {
+                int at = (from + i) % view.size();
+                double time = truth.answerTime(policy.idAt(at), zone);
+                if (best < 0 || time < least) {
+                    best = at;
+                    least = time;
+                }
+            }
+            return best;
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/junctionhead/lab/world/Chance.java
@@ -0,0 +1,32 @@
+package junctionhead.lab.world;
+
+/**
+ * Random numbers by counter: a pure function of a seed and the numbers of what is drawn for. Where the order of
+ * draws depends on decisions (retries, attempts, messages), a stream would give two variants different fates for
+ * one request; this gives the same.
+ */
+final class Chance {
+    private Chance() { }
+
+    /** Uniform in [0, 1). */
+    static double uniform(long seed, long number, long concern) {
+        long z = seed + number * 0x9e3779b97f4a7c15L + concern * 0xd1b54a32d192ed03L;
+        z = (z ^ z >>> 30) * 0xbf58476d1ce4e5b9L;
+        z = (z ^ z >>> 27) * 0x94d049bb133111ebL;
+        z ^= z >>> 31;
+        z = (z ^ z >>> 30) * 0xbf58476d1ce4e5b9L;
+        return ((z ^ z >>> 27) >>> 11) * 0x1.0p-53;
+    }
+
+    /** Exponential with mean 1. */
+    static double exponential(long seed, long number, long concern) {
+        return -StrictMath.log(1 - uniform(seed, number, concern));
+    }
+
+    /** Standard normal (Box and Muller). */
+    static double gaussian(long seed, long number, long concern) {
+        double u = 1 - uniform(seed, number, 2 * concern);
+        double v = uniform(seed, number, 2 * concern + 1);
+        return Math.sqrt(-2 * StrictMath.log(u)) * StrictMath.cos(2 * Math.PI * v);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/junctionhead/lab/world/ClientRequest.java
@@ -0,0 +1,49 @@
+package junctionhead.lab.world;
+
+/** What a client wants once, over all its tries. */
+public final class ClientRequest {
+    final long number;
+    final int kind;
+    final int tenant;
+    final int zone;
+    final int key;
+    final double work;
+    final long firstAt;
+    final long deadline;
+    final boolean overShare;
+    int tries;
+    boolean over;
+
+    ClientRequest(long number, int kind, int tenant, int zone, int key, double work, long firstAt, long deadline,
+            boolean overShare) {
+        this.number = number;
+        this.kind = kind;
+        this.tenant = tenant;
+        this.zone = zone;
+        this.key = key;
+        this.work = work;
+        this.firstAt = firstAt;
+        this.deadline = deadline;
+        this.overShare = overShare;
+    }
+
+    /** Its class, by number. */
+    public int kind() {
+        return kind;
+    }
+
+    /** Its tenant, by number; 0 where there are none. */
+    public int tenant() {
+        return tenant;
+    }
+
+    /** When its first try was sent, in µs. */
+    public long firstAt() {
+        return firstAt;
+    }
+
+    /** Whether its tenant had used up its share. */
+    public boolean overShare() {
+        return overShare;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/junctionhead/lab/world/Observer.java
@@ -0,0 +1,43 @@
+package junctionhead.lab.world;
+
+import java.util.List;
+import junctionhead.policy.Policy;
+
+/** Hears of every event of a world as it happens: whoever judges or measures. It changes nothing. */
+public interface Observer {
+    /** A balancer has taken a request: it owes one final answer. */
+    void taken(Taken request, long now);
+
+    /** A module asks for an attempt; it isn't among the request's attempts yet. */
+    void sending(Attempt attempt, long now);
+
+    /** An attempt has ended. */
+    void outcome(Attempt attempt, Policy.Outcome outcome, long now);
+
+    /** A request has had its final answer. */
+    void answered(Taken request, Clients.End end, long retryAfter, long now);
+
+    /** A module gives a second final answer. */
+    void answeredTwice(Taken request, Clients.End end, long now);
+
+    /** The time for a final answer is over and there was none. */
+    void overdue(Taken request, long now);
+
+    /** A balancer has been told of upstreams. */
+    void told(Balancer balancer, Policy.ListKind kind, List<Policy.Server> servers, long now);
+
+    /** Whether that balancer has been told of the upstream's last start. */
+    boolean knowsStart(Balancer balancer, Upstream upstream);
+
+    /** A cold upstream was sent too much and fell over; {@code told}: the share from balancers that knew. */
+    void fell(Upstream upstream, double told, long now);
+
+    /** A module asks for what can't be. */
+    void malformed(Balancer balancer, String what, Taken request, long now);
+
+    /** A client makes a first try. */
+    void asked(ClientRequest request, long now);
+
+    /** A client has its answer, or has given up: {@code served} tells which. */
+    void over(ClientRequest request, boolean served, long now);
+}
--- /dev/null
+++ b/lab/src/main/java/junctionhead/lab/world/PolicyMaker.java
@@ -0,0 +1,10 @@
+package junctionhead.lab.world;
+
+import junctionhead.policy.Policy;
+
+/** Makes the module of a balancer that starts. */
+@FunctionalInterface
+public interface PolicyMaker {
+    /** {@code truth} is for policies that are allowed to see everything; the others don't look. */
+    Policy make(Policy.Settings settings, long seed, Truth truth);
+}
--- /dev/null
+++ b/lab/src/main/java/junctionhead/lab/world/Range.java
@@ -0,0 +1,31 @@
+package junctionhead.lab.world;
+
+import junctionhead.lab.sim.Draws;
+
+/** A figure that each world draws anew, uniformly between two ends; the first end is the mildest. */
+public record Range(double from, double to) {
+    /** One value, always the same. */
+    public static Range of(double value) {
+        return new Range(value, value);
+    }
+
+    /** A draw; a fixed range draws too, so that fixing one figure leaves the others as they were. */
+    public double draw(Draws draws) {
+        return draws.between(from, to);
+    }
+
+    /** The least value. */
+    public double least() {
+        return Math.min(from, to);
+    }
+
+    /** The largest value. */
+    public double most() {
+        return Math.max(from, to);
+    }
+
+    /** The middle. */
+    public double middle() {
+        return (from + to) / 2;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/junctionhead/lab/world/Register.java
@@ -0,0 +1,217 @@
+package junctionhead.lab.world;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import junctionhead.lab.sim.Draws;
+import junctionhead.policy.Policy;
+import junctionhead.policy.Policy.ListKind;
+
+/**
+ * Discovery: knows late and only of processes that run, drain or are gone, and handles one call after another.
+ */
+final class Register {
+    private static final int HISTORY = 256;                 // versions behind which a watch gets the whole list
+
+    /** A balancer's standing with the register. */
+    static final class Subscriber {
+        private final Balancer balancer;
+        private boolean watching;
+        private int generation;
+        private long version;
+        private long askedAt;
+        private boolean failed;
+
+        Subscriber(Balancer balancer) {
+            this.balancer = balancer;
+        }
+
+        void end() {
+            watching = false;
+            generation++;
+        }
+
+        /** When it counts as told of what was listed at {@code listedAt}, whatever reached it. */
+        long deemedTold(long listedAt, long askWithin) {
+            if (watching || askWithin <= 0 || listedAt == Long.MAX_VALUE) {
+                return Long.MAX_VALUE;
+            }
+            return Math.max(listedAt, askedAt) + askWithin * (failed ? 4 : 1);
+        }
+    }
+
+    private final World world;
+    private final Draws draws;
+    private final Map<String, Policy.Server> entries = new LinkedHashMap<>();
+    private final TreeMap<Long, Policy.Server> changes = new TreeMap<>();
+    private final Map<String, Long> listedAt = new LinkedHashMap<>();
+    private final List<Subscriber> watchers = new ArrayList<>();
+    private final double capacity;
+    private final double callLines;
+    private final long period;
+    private final long spread;
+    private long version = 1;
+    private long freeAt;
+    private boolean down;
+    private boolean listsTwice;
+    private long calls;
+
+    Register(World world, Draws draws) {
+        WorldPlan.Discovery d = world.plan.discovery();
+        this.world = world;
+        this.draws = draws;
+        this.capacity = d.capacity().draw(draws);
+        this.callLines = d.callLines().draw(draws);
+        this.period = Math.max(1, Math.round(d.period().draw(draws)));
+        this.spread = Math.round(d.spread().draw(draws));
+    }
+
+    List<Policy.Server> list() {
+        List<Policy.Server> all = new ArrayList<>(entries.values());
+        if (listsTwice) {
+            all.addAll(entries.values());
+        }
+        return all;
+    }
+
+    long calls() {
+        return calls;
+    }
+
+    /** Puts an entry in before the day begins. */
+    void preset(Policy.Server entry) {
+        entries.put(entry.id(), entry);
+    }
+
+    void listsTwice(boolean twice) {
+        listsTwice = twice;
+    }
+
+    /** When it was listed that this upstream drains or is gone, in µs; where it isn't, the largest long. */
+    long endListedAt(String id) {
+        Policy.Server entry = entries.get(id);
+        boolean ends = entry == null || entry.state() != Policy.State.UP;
+        return ends ? listedAt.getOrDefault(id, Long.MAX_VALUE) : Long.MAX_VALUE;
+    }
+
+    /** Something changed; it is listed after {@code late} µs, at the register's next round. */
+    void changed(Policy.Server entry, long late) {
+        long due = world.simulation.now() + late;
+        long round = (due + period - 1) / period * period;
+        world.simulation.at(round, now -> list(entry, now));
+    }
+
+    private void list(Policy.Server entry, long now) {
+        if (down) {
+            world.simulation.after(period, at -> list(entry, at));
+            return;
+        }
+        Policy.Server known = entries.get(entry.id());
+        if (entry.state() == Policy.State.GONE) {
+            entries.remove(entry.id());
+        } else if (known == null || known.state() == Policy.State.UP || entry.state() != Policy.State.UP
+                || known.startedAt() != entry.startedAt()) {
+            entries.put(entry.id(), entry);
+        } else {
+            return;
+        }
+        listedAt.put(entry.id(), now);
+        changes.put(++version, entry);
+        if (changes.size() > HISTORY) {
+            changes.pollFirstEntry();
+        }
+        for (Subscriber s : List.copyOf(watchers)) {
+            if (s.watching && s.balancer.alive()) {
+                push(s, now);
+            } else {
+                watchers.remove(s);
+            }
+        }
+    }
+
+    private void push(Subscriber s, long now) {
+        int generation = s.generation;
+        long late = Math.round(draws.uniform() * spread) + 100;
+        world.simulation.after(late, at -> {
+            if (s.watching && s.generation == generation && s.version < version) {
+                deliver(s, at);
+            }
+        });
+    }
+
+    /** A call: it waits its turn, and fails when it has waited too long or the register is down. */
+    void call(Subscriber s, boolean watch) {
+        long now = world.simulation.now();
+        calls++;
+        s.askedAt = now;
+        s.end();
+        int generation = s.generation;
+        long timeout = world.plan.discovery().timeout();
+        double cost = 1 + entries.size() / callLines;
+        long begin = Math.max(now, freeAt);
+        if (down || begin - now > timeout) {
+            world.simulation.after(down ? 1_000 : timeout, at -> fail(s, generation, at));
+            return;
+        }
+        freeAt = begin + Math.round(cost / capacity * 1e6);
+        world.simulation.at(freeAt, at -> {
+            if (s.generation != generation || !s.balancer.alive()) {
+                return;
+            }
+            if (down) {
+                fail(s, generation, at);
+                return;
+            }
+            s.failed = false;
+            s.askedAt = at;
+            if (watch) {
+                s.watching = true;
+                watchers.add(s);
+            }
+            if (!watch) {
+                s.version = 0;
+            }
+            deliver(s, at);
+        });
+    }
+
+    private void fail(Subscriber s, int generation, long now) {
+        if (s.generation == generation) {
+            s.failed = true;
+            s.balancer.news(ListKind.FAILED, List.of(), now);
+        }
+    }
+
+    private void deliver(Subscriber s, long now) {
+        boolean gap = s.version == 0 || !changes.isEmpty() && s.version < changes.firstKey() - 1;
+        long from = s.version;
+        s.version = version;
+        if (gap) {
+            s.balancer.news(ListKind.COMPLETE, list(), now);
+        } else {
+            List<Policy.Server> news = new ArrayList<>(changes.tailMap(from, false).values());
+            if (listsTwice) {
+                news.addAll(List.copyOf(news));
+            }
+            s.balancer.news(ListKind.PARTIAL, news, now);
+        }
+    }
+
+    /** Goes down or comes back: watches end, calls fail. */
+    void down(boolean now) {
+        down = now;
+        if (now) {
+            long at = world.simulation.now();
+            for (Subscriber s : List.copyOf(watchers)) {
+                if (s.watching) {
+                    s.end();
+                    s.failed = true;
+                    s.balancer.news(ListKind.FAILED, List.of(), at);
+                }
+            }
+            watchers.clear();
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/junctionhead/lab/world/Truth.java
@@ -0,0 +1,20 @@
+package junctionhead.lab.world;
+
+/** What no real balancer can see: for the policy that others are measured against. */
+public interface Truth {
+    /**
+     * Time until an answer to an average request sent to that upstream now, in µs; infinite where none would come.
+     *
+     * @param zone the asking balancer's
+     */
+    double answerTime(String upstream, int zone);
+
+    /** Capacity of that upstream when warm and well, in standard cores. */
+    double nominal(String upstream);
+
+    /** Whether it is of the faster kinds. */
+    boolean fast(String upstream);
+
+    /** How warm it is, from its cold share to 1. */
+    double warmth(String upstream);
+}
--- /dev/null
+++ b/lab/src/main/java/junctionhead/lab/world/World.java
@@ -0,0 +1,417 @@
+package junctionhead.lab.world;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import junctionhead.lab.sim.Draws;
+import junctionhead.lab.sim.Simulation;
+import junctionhead.lab.sim.Streams;
+import junctionhead.policy.Policy;
+import junctionhead.policy.Policy.Outcome;
+
+/** One world, drawn from a plan by a seed, and its day from the first arrival to the last answer. */
+public final class World implements Truth {
+    static final long BEGIN = 60_000_000;                   // µs: start times before the day are positive
+    private static final long SECOND = 1_000_000;
+    private static final long LINGER = 10 * SECOND;         // after the last arrival, at the most
+    private static final long NEVER = 1L << 60;
+
+    final WorldPlan plan;
+    final Simulation simulation = new Simulation();
+    final Streams streams;
+    final Network network;
+    final Register register;
+    final Clients clients;
+    final Observer judge;
+    final long begin = BEGIN;
+    final long chanceSeed;
+    final double[] kindSpeed;
+    final boolean[] cancelDrops;
+    final double connectionsPerCore;
+    final double keysPerCore;
+    final double fullTax;
+    final double handshakeWork;
+    final double handshakeRtts;
+    final double keyGain;
+    final long keyMemory;
+    final long notice;
+    final List<BalancerSlot> slots = new ArrayList<>();
+    final List<Rack> racks = new ArrayList<>();
+    final List<Upstream> upstreams = new ArrayList<>();     // that run or have run, in order of start
+    private final Map<Integer, Upstream> addresses = new HashMap<>();
+    private final Map<String, Integer> addressOf = new HashMap<>();
+    private final Map<String, Upstream> byId = new HashMap<>();
+    private final List<Balancer> processes = new ArrayList<>();
+    private final PolicyMaker maker;
+    private final List<String> remarks = new ArrayList<>();
+    private final double[] noises;
+    double nominal;
+    double meanWork;
+    double offered;
+    private double wasted;
+    private long handshakes;
+    private long crossings;
+    private long probes;
+    private int nextId;
+    private int nextAddress;
+    private List<Timeline.Spell> spells = List.of();
+    private Runnable everySecond = () -> { };
+
+    /** What the day cost beside what the observer saw. */
+    public record Costs(double offeredWork, double wastedWork, long handshakes, long crossings, long probes,
+            long registerCalls, long events, double firstTriesPerSecond, int upstreams, int balancers) { }
+
+    /** Draws a world; {@code observer} hears of all that happens in it. */
+    public World(WorldPlan plan, long seed, PolicyMaker maker, Observer observer) {
+        this.plan = plan;
+        this.maker = maker;
+        this.judge = observer;
+        streams = new Streams(seed);
+        chanceSeed = streams.seed("chance", 0);
+        Draws figures = streams.of("world", 0, "figures");
+        network = new Network(plan, streams.of("network", 0, "delays"), streams.seed("network", 0));
+        WorldPlan.Fleet f = plan.fleet();
+        connectionsPerCore = f.connectionsPerCore().draw(figures);
+        keysPerCore = f.keysPerCore().draw(figures);
+        fullTax = f.fullTax().draw(figures);
+        handshakeWork = f.handshakeWork().draw(figures);
+        handshakeRtts = f.handshakeRtts().draw(figures);
+        keyGain = f.keyGain().draw(figures);
+        keyMemory = Math.round(f.keyMemory().draw(figures));
+        notice = Math.round(plan.clients().notice().draw(figures));
+        kindSpeed = plan.kinds().stream().mapToDouble(k -> k.speed().draw(figures)).toArray();
+        cancelDrops = new boolean[kindSpeed.length];
+        for (int i = 0; i < cancelDrops.length; i++) {
+            cancelDrops[i] = figures.chance(plan.kinds().get(i).cancelDrops());
+        }
+        noises = plan.classes().stream().mapToDouble(k -> k.attemptNoise().draw(figures)).toArray();
+        int balancers = Math.max(1, (int) Math.round(plan.balancers().draw(figures)));
+        int many = Math.max(0, (int) Math.round(plan.upstreams().draw(figures)));
+        double limitedShare = f.limitedRacks().draw(figures);
+        double rackLimit = f.rackLimit().draw(figures);
+        build(many, limitedShare, rackLimit);
+        register = new Register(this, streams.of("register", 0, "figures"));
+        for (Upstream u : upstreams) {
+            register.preset(entry(u, Policy.State.UP));
+        }
+        clients = new Clients(this, streams.of("clients", 0, "figures"));
+        for (int i = 0; i < balancers; i++) {
+            slots.add(new BalancerSlot(i, i % plan.zones().size()));
+        }
+    }
+
+    private void build(int many, double limitedShare, double rackLimit) {
+        Draws draws = streams.of("fleet", 0, "racks");
+        double[] shares = plan.kinds().stream().mapToDouble(k -> k.share().draw(draws)).toArray();
+        double all = 0;
+        for (double s : shares) {
+            all += s;
+        }
+        int made = 0;
+        while (made < many) {
+            int number = racks.size();
+            int size = Math.max(1, (int) Math.round(plan.fleet().rackSize().draw(draws)));
+            Rack rack = new Rack(number, number % plan.zones().size(),
+                draws.chance(limitedShare) ? rackLimit : 1);
+            racks.add(rack);
+            for (int i = 0; i < size && made < many; i++, made++) {
+                // Low discrepancy: a fleet of ten has about the stated share of each kind, not a chance one.
+                double at = (made + 0.5) * 0.6180339887498949 % 1 * all;
+                int kind = 0;
+                while (kind < shares.length - 1 && at >= shares[kind]) {
+                    at -= shares[kind++];
+                }
+                start(kind, rack, nextAddress++, 0);
+            }
+        }
+        for (Upstream u : upstreams) {
+            nominal += u.nominal();
+        }
+    }
+
+    /** Starts a process; {@code startedAt} 0: long ago. */
+    Upstream start(int kind, Rack rack, int address, long startedAt) {
+        int number = nextId++;
+        String id = String.format("u%04x", number * 40503 + 12345 & 0xffff) + (number > 0xffff ? "x" + number : "");
+        return enter(new Upstream(this, id, address, rack.zone, rack, kind, streams.of("upstream", number, "make"),
+            startedAt));
+    }
+
+    /** The same upstream started again, under its id and at its address. */
+    Upstream again(Upstream former, long startedAt) {
+        return enter(new Upstream(this, former.id, former.address, former.zone, former.rack, former.kindNumber,
+            streams.of("upstream again", nextId++, "make"), startedAt));
+    }
+
+    private Upstream enter(Upstream u) {
+        upstreams.add(u);
+        addresses.put(u.address, u);
+        addressOf.put(u.id, u.address);
+        byId.put(u.id, u);
+        return u;
+    }
+
+    void spells(List<Timeline.Spell> drawn) {
+        spells = List.copyOf(drawn);
+    }
+
+    /** The day's troubles as they were drawn. */
+    public List<Timeline.Spell> spells() {
+        return spells;
+    }
+
+    int freshAddress() {
+        return nextAddress++;
+    }
+
+    Policy.Server entry(Upstream u, Policy.State state) {
+        return new Policy.Server(u.id, state, u.saidStart(), 1, u.rack.number, u.kindNumber, u.zone);
+    }
+
+    /** The process that serves at the address of that id; null for ids that never were. */
+    Upstream at(String id) {
+        Integer address = addressOf.get(id);
+        return address == null ? null : addresses.get(address);
+    }
+
+    /** What a module is told at its start. */
+    Policy.Settings settings(int rank, int zone) {
+        WorldPlan.Rules r = plan.rules();
+        List<Policy.RequestClass> kinds = plan.classes().stream().map(k -> new Policy.RequestClass(k.effect(),
+            Policy.Scope.ALL, 5 * SECOND, k.aim(), k.deadline(), 0, k.worth(), k.lateWorth(), false, false,
+            Set.of(), Set.of())).toList();
+        List<Policy.Tenant> tenants = new ArrayList<>();
+        for (double a : clients.allowances) {
+            tenants.add(new Policy.Tenant(Math.round(a)));
+        }
+        double coldFrom = plan.kinds().stream().mapToDouble(k -> k.coldFrom().least()).min().orElse(1);
+        double ramp = plan.kinds().stream().mapToDouble(k -> k.coldTime().most()).max().orElse(0);
+        WorldPlan.Goal g = plan.goal();
+        return new Policy.Settings(slots.size(), rank, zone, kinds, tenants, 0.1,
+            new Policy.Goal(g.whole(), g.worstWindow(), g.worstClass(), g.worstTenant()),
+            new Policy.Prices(plan.prices().crossZone(), plan.prices().handshake()), false,
+            plan.discovery().ask() ? Policy.Discovery.ASK : Policy.Discovery.PUSH, Policy.Reports.NONE,
+            keyGain > 0 && plan.load().keys().most() > 0,
+            new Policy.Limits(r.maxAttempts(), r.secondCopies(), r.cancel(), r.probes(),
+                plan.fleet().connectTimeout(), r.retryAfterMax()),
+            new Policy.Bounds(r.answerSlack(), r.drainGrace(), r.askWithin(), Math.max(0.01, Math.min(1, coldFrom)),
+                Math.round(ramp), r.overloadFactor(), r.fall(), 0), 5_000);
+    }
+
+    /** Calls {@code what} after each second of the day. */
+    public void everySecond(Runnable what) {
+        everySecond = what;
+    }
+
+    /** Plays the day to its end. */
+    public Costs run() {
+        simulation.runUntil(BEGIN);
+        for (BalancerSlot s : slots) {
+            boot(s, null);
+        }
+        new Timeline(this).install();
+        clients.begin();
+        long end = BEGIN + plan.length();
+        long last = end + LINGER;
+        for (long t = BEGIN + SECOND; t <= last; t += SECOND) {
+            simulation.runUntil(t);
+            for (Balancer b : processes) {
+                b.tidy(t);
+            }
+            if (t <= end) {
+                everySecond.run();
+            }
+            if (t >= end && clients.open() == 0) {
+                break;
+            }
+        }
+        return new Costs(offered, wasted, handshakes, crossings, probes, register.calls(), simulation.fired(),
+            clients.perSecond(), upstreams.size(), slots.size());
+    }
+
+    // ---- balancers
+
+    /** Starts a process of that balancer, with the list as {@code former} or the register last had it. */
+    Balancer boot(BalancerSlot slot, Map<String, double[]> learnt) {
+        int incarnation = slot.nextIncarnation();
+        long now = simulation.now();
+        Policy policy = maker.make(settings(slot.rank, slot.zone),
+            streams.seed("balancer", slot.rank * 1000L + incarnation), this);
+        Balancer b = new Balancer(this, slot.rank, slot.zone, incarnation, policy);
+        processes.removeIf(p -> !p.alive());
+        processes.add(b);
+        slot.serving(b);
+        b.begin(register.list(), now);
+        if (learnt != null) {
+            policy.resume(now, learnt);
+        }
+        return b;
+    }
+
+    BalancerSlot front(int zone, double u) {
+        List<BalancerSlot> own = admitted(zone, true);
+        List<BalancerSlot> from = own.isEmpty() ? admitted(zone, false) : own;
+        return from.isEmpty() ? null : from.get((int) (u * from.size()));
+    }
+
+    private List<BalancerSlot> admitted(int zone, boolean only) {
+        List<BalancerSlot> some = new ArrayList<>();
+        for (BalancerSlot s : slots) {
+            if (s.admitted() && (!only || s.zone == zone)) {
+                some.add(s);
+            }
+        }
+        return some;
+    }
+
+    List<Balancer> processes() {
+        return processes;
+    }
+
+    // ---- messages
+
+    RequestWork workOf(Attempt a) {
+        ClientRequest c = a.taken().client();
+        double noise = noises[c.kind];
+        double variance = StrictMath.log(1 + noise * noise);
+        double times = noise <= 0 ? 1 : StrictMath.exp(
+            Math.sqrt(variance) * Chance.gaussian(chanceSeed, a.serial, 11) - variance / 2);
+        return new RequestWork(c.work * times, c.key);
+    }
+
+    /** Carries an attempt to its upstream, over a new connection where {@code fresh}. */
+    void carry(Attempt a, boolean fresh, long now) {
+        Upstream u = a.upstream;
+        Balancer b = a.balancer();
+        crossings += b.zone != u.zone ? 1 : 0;
+        boolean blocked = blocked(b, u);
+        long way = network.between(b.zone, u.zone, a.serial, 0);
+        long before = 0;
+        if (fresh) {
+            handshakes++;
+            long connect = plan.fleet().connectTimeout();
+            long round = network.between(b.zone, u.zone, a.serial, 2) + network.between(u.zone, b.zone, a.serial, 3);
+            if (blocked || !u.alive() || u.fallen() || u.full() || round > connect) {
+                long heard = blocked ? connect : Math.min(round, connect);
+                simulation.after(heard, at -> b.outcome(a, Outcome.CONNECT_FAILED, at));
+                return;
+            }
+            u.connected(1);
+            before = Math.round(round * handshakeRtts);
+        }
+        if (!blocked) {
+            u.coming(1);
+            simulation.after(before + way, at -> {
+                u.coming(-1);
+                if (!blocked(b, u)) {
+                    u.accept(a, fresh, at);
+                }
+            });
+        }
+    }
+
+    private boolean blocked(Balancer b, Upstream u) {
+        return u.silent() || network.cut(b.zone, u.zone) || network.cut(u.zone, b.zone);
+    }
+
+    /** An upstream's word on an attempt travels back. */
+    void reply(Attempt a, Upstream u, Outcome outcome, long now) {
+        Balancer b = a.balancer();
+        if (network.cut(u.zone, b.zone)) {
+            return;
+        }
+        simulation.after(network.between(u.zone, b.zone, a.serial, 1), at -> b.outcome(a, outcome, at));
+    }
+
+    /** An upstream has done that work; nobody may want it any more. */
+    void ran(Attempt a, double work) {
+        if (!a.out() || a.taken().gone || a.taken().answered) {
+            wasted += work;
+        }
+    }
+
+    void probe(Balancer b, String id, Upstream u, long now) {
+        probes++;
+        long round = network.mean(b.zone, u.zone) + network.mean(u.zone, b.zone);
+        boolean lost = blocked(b, u);
+        long heard = lost ? plan.fleet().connectTimeout() : round;
+        Outcome outcome = lost ? Outcome.TIMEOUT : !u.alive() || u.fallen() ? Outcome.CONNECT_FAILED : Outcome.OK;
+        simulation.after(heard, at -> b.probed(id, outcome, heard, at));
+    }
+
+    void remark(int rank, String line) {
+        if (remarks.size() < 500) {
+            remarks.add(String.format(java.util.Locale.ROOT, "%.3f s balancer %d: %s",
+                (simulation.now() - BEGIN) / 1e6, rank, line));
+        }
+    }
+
+    // ---- what a report shows
+
+    /** Log lines of the modules, the first few hundred. */
+    public List<String> remarks() {
+        return remarks;
+    }
+
+    /** Simulated µs since the day began. */
+    public long time() {
+        return simulation.now() - BEGIN;
+    }
+
+    /** Requests in each upstream that runs or has run, in order of start; -1 for those that have gone. */
+    public int[] held() {
+        return upstreams.stream().mapToInt(u -> u.alive() ? u.held() : -1).toArray();
+    }
+
+    /** Ids of the upstreams, in the order of {@link #held}. */
+    public List<String> ids() {
+        return upstreams.stream().map(u -> u.id).toList();
+    }
+
+    /** When the day began, in simulated µs: times of events are later than this. */
+    public static long began() {
+        return BEGIN;
+    }
+
+    // ---- truth
+
+    @Override
+    public double answerTime(String upstream, int zone) {
+        Upstream u = at(upstream);
+        if (u == null || !u.answers() || u.fallen() || u.draining() || network.cut(zone, u.zone)
+                || network.cut(u.zone, zone)) {
+            return NEVER;
+        }
+        long now = simulation.now();
+        double capacity = u.capacity(now) * (u.rack.limited() ? u.rack.factor() : 1);
+        double share = capacity / u.cores;
+        double serve = meanWork / share * Math.max(1, (u.heldOrComing() + 1) / (double) u.cores);
+        double cold = u.warmth(now) < 1 ? 2 - u.warmth(now) : 1;
+        double time = 2.0 * network.mean(zone, u.zone) + serve * cold;
+        return u.failing() > 0 ? time * (1 + 50 * u.failing()) : time;
+    }
+
+    @Override
+    public double nominal(String upstream) {
+        Upstream u = byId.get(upstream);
+        return u == null ? 1 : u.nominal();
+    }
+
+    @Override
+    public boolean fast(String upstream) {
+        Upstream u = byId.get(upstream);
+        double mean = 0;
+        for (double s : kindSpeed) {
+            mean += s / kindSpeed.length;
+        }
+        return u != null && kindSpeed[u.kindNumber] > mean;
+    }
+
+    @Override
+    public double warmth(String upstream) {
+        Upstream u = at(upstream);
+        return u == null ? 1 : u.warmth(simulation.now());
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/junctionhead/lab/experiment/ExperimentReaderTest.java
@@ -0,0 +1,106 @@
+package junctionhead.lab.experiment;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class ExperimentReaderTest {
+    private static final String SOUND = """
+        [experiment]
+        seeds = 2
+        expect = ["G > 0"]
+        [world]
+        length = "5s"
+        balancers = 1
+        upstreams = 2
+        [load]
+        level = 0.5
+        [network]
+        same = "100us"
+        [[kind]]
+        name = "box"
+        cores = 2
+        [[class]]
+        name = "read"
+        work = "10ms"
+        aim = "100ms"
+        deadline = "500ms"
+        [[trouble]]
+        kind = "slow"
+        at = "1s"
+        part = 0.5
+        size = 3
+        """;
+
+    @TempDir
+    private Path folder;
+
+    private Path file(String name, String text) throws IOException {
+        return Files.writeString(folder.resolve(name), text);
+    }
+
+    @Test
+    void aSoundOneIsReadWithItsUnits() throws IOException {
+        Experiment e = ExperimentReader.read(file("sound.toml", SOUND));
+        assertEquals(5_000_000, e.plan().length());
+        assertEquals(100, e.plan().network().same().from());
+        assertEquals("sound", e.name());
+        assertEquals(2, e.variants().size());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "length = \"5s\" | length = 5 | bad.toml:5: 'length' is 5: a time with its unit, such as \"200ms\" is wanted",
+        "length = \"5s\" | lenght = \"5s\" | bad.toml:4: 'length' is missing in [world]: a time with its unit",
+        "balancers = 1 | balancers = 0 | bad.toml:6: 'balancers' is 0: a whole number of 1 or more is wanted",
+        "balancers = 1 | balancers = [1, 2, 3] | bad.toml:6: 'balancers' has 3 values; one, or two for a range",
+        "level = 0.5 | levle = 0.5 | bad.toml:9: unknown key 'levle' in [load]; did you mean 'level'?",
+        "part = 0.5 | part = 1.5 | bad.toml:23: 'part' is 1.5: a share from 0 to 1 is wanted",
+        "kind = \"slow\" | kind = \"slw\" | did you mean 'slow'?",
+        "deadline = \"500ms\" | deadline = \"50ms\" | bad.toml:19: 'deadline' is before the aim",
+        "expect = [\"G > 0\"] | expect = [\"H > 0\"] | bad.toml:3: expectation \"H > 0\": no figure 'H'",
+        "expect = [\"G > 0\"] | expect = [\"diff(G, balanse, random) > 0\"] | did you mean 'balance'?",
+        "expect = [\"G > 0\"] | expect = [\"G is good\"] | expectation \"G is good\" can't be read",
+        "seeds = 2 | seeds = = | bad.toml:2: ",
+        "seeds = 2 | seeds = 2.5 | bad.toml:2: 'seeds' is 2.5: a whole number of 1 or more is wanted",
+    })
+    void eachFaultIsNamedWithItsFileAndLine(String was, String is, String complaint) throws IOException {
+        Path bad = file("bad.toml", SOUND.replace(was, is));
+        String said = assertThrows(Faults.class, () -> ExperimentReader.read(bad)).getMessage();
+        assertTrue(said.contains(complaint), said);
+    }
+
+    @Test
+    void allFaultsAreNamedAtOnceInTheOrderOfTheirLines() throws IOException {
+        Path bad = file("bad.toml", SOUND.replace("level = 0.5", "level = -1").replace("size = 3", "sise = 3"));
+        assertEquals(2, assertThrows(Faults.class, () -> ExperimentReader.read(bad)).lines().size());
+    }
+
+    @Test
+    void anIncludeIsLaidUnderTheFileAndFaultsInItNameIt() throws IOException {
+        file("base.toml", SOUND.replace("level = 0.5", "level = 0.25"));
+        Path over = file("over.toml", "include = \"base.toml\"\n[world]\nlength = \"9s\"\n");
+        Experiment e = ExperimentReader.read(over);
+        assertEquals(9_000_000, e.plan().length());
+        assertEquals(0.25, e.plan().load().level().from());
+        file("base.toml", SOUND.replace("level = 0.5", "level = true"));
+        String said = assertThrows(Faults.class, () -> ExperimentReader.read(over)).getMessage();
+        assertTrue(said.startsWith("base.toml:9: 'level' is true"), said);
+    }
+
+    @Test
+    void anIncludeThatLoopsIsCaught() throws IOException {
+        file("a.toml", "include = \"b.toml\"\n");
+        Path b = file("b.toml", "include = \"a.toml\"\n");
+        String said = assertThrows(Faults.class, () -> ExperimentReader.read(b)).getMessage();
+        assertTrue(said.contains("loops"), said);
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/junctionhead/lab/judge/JudgeTest.java
@@ -0,0 +1,146 @@
+package junctionhead.lab.judge;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import junctionhead.lab.judge.Broken.Rule;
+import junctionhead.lab.world.WorldPlan;
+import junctionhead.lab.world.Worlds;
+import junctionhead.policy.Policy;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** For each rule a policy that breaks just that rule, and the judge names it. */
+class JudgeTest {
+    /** Sends each request to the next upstream, once; keeps every rule but the planted one. */
+    private static final class Planted implements Policy {
+        private final Rule rule;
+        private final Map<String, Server> up = new LinkedHashMap<>();
+        private final Map<String, Boolean> open = new HashMap<>();
+        private Server cold;
+        private int next;
+
+        Planted(Rule rule) {
+            this.rule = rule;
+        }
+
+        @Override
+        public void servers(long now, ListKind kind, List<Server> servers, Actions out) {
+            if (kind == ListKind.PERSISTED) {
+                out.watch(true);
+            }
+            for (Server s : servers) {
+                if (s.state() == State.UP) {
+                    up.put(s.id(), s);
+                    cold = s.startedAt() > 0 ? s : cold;
+                } else if (rule != Rule.DRAIN) {
+                    up.remove(s.id());
+                }
+            }
+        }
+
+        private String pick(long now) {
+            if (rule == Rule.COLD && cold != null) {
+                return cold.id();
+            }
+            List<Server> warm = up.values().stream().filter(s -> s.startedAt() == 0).toList();
+            return warm.isEmpty() ? null : warm.get(next++ % warm.size()).id();
+        }
+
+        @Override
+        public void request(long now, String id, int kind, int tenant, String key, long timeLeft, long work,
+                boolean resubmission, Actions out) {
+            open.put(id, false);
+            String server = pick(now);
+            if (rule == Rule.LOST && next % 50 == 0) {
+                open.remove(id);
+            } else if (server == null) {
+                out.refuse(id, 0);
+            } else if (rule == Rule.MALFORMED && next % 50 == 0) {
+                out.send(id, "no such upstream", 0);
+                out.send(id, server, 0);
+            } else {
+                out.send(id, server, 0);
+                if (rule == Rule.TWO_AT_ONCE && next % 50 == 0) {
+                    open.put(id, true);
+                    out.send(id, pick(now), 0);
+                }
+            }
+        }
+
+        @Override
+        public void outcome(long now, String id, int attempt, Outcome outcome, long latency, boolean closed, Load load,
+                Actions out) {
+            if (closed || !open.containsKey(id)) {
+                return;
+            }
+            if (rule == Rule.DUPLICATE && attempt == 0 && outcome == Outcome.ERROR) {
+                out.send(id, pick(now), 0);
+                return;
+            }
+            if (open.get(id) && attempt == 0) {
+                return;
+            }
+            open.remove(id);
+            if (outcome.neverRan()) {
+                out.refuse(id, 0);
+            } else {
+                out.fail(id);
+            }
+            if (rule == Rule.ANSWERED_TWICE) {
+                out.fail(id);
+            }
+        }
+
+        @Override
+        public void clientGone(long now, String id, Actions out) {
+            open.remove(id);
+        }
+
+        @Override
+        public void streamStarted(long now, String id, int attempt, Actions out) { }
+
+        @Override
+        public void probed(long now, String server, Outcome outcome, long latency, Load load, Actions out) { }
+
+        @Override
+        public void wake(long now, Actions out) { }
+    }
+
+    private static Day play(Rule rule) {
+        boolean twoMayRun = rule == Rule.TWO_AT_ONCE;       // else the second copy would be a duplicate as well
+        WorldPlan plan = Worlds.small(0.3, 8, twoMayRun ? Policy.Effect.SAFE : Policy.Effect.UNSAFE,
+            Worlds.trouble("fast_errors", 1, 10, 0.25, 0.5, 0), Worlds.trouble("deploy", 2, 3, 0.25, 0.25, 4));
+        return Day.play(plan, 6, (settings, seed, truth) -> new Planted(rule));
+    }
+
+    @ParameterizedTest
+    @EnumSource(Rule.class)
+    void thePlantedRuleAndNoOtherIsNamed(Rule rule) {
+        Day day = play(rule);
+        Set<Rule> named = day.broken().stream().map(Broken::rule).collect(Collectors.toSet());
+        assertEquals(Set.of(rule), named, () -> day.broken().get(0).toString());
+        assertTrue(day.figures().get("rules.broken") >= 1);
+    }
+
+    @Test
+    void thePolicyThatPlantsNothingBreaksNothing() {
+        assertEquals(List.of(), play(null).broken());
+    }
+
+    @Test
+    void aBrokenRuleShowsTheRequestTheTimeAndTheChainThatLedThere() {
+        Broken b = play(Rule.DUPLICATE).broken().get(0);
+        assertTrue(b.at() > 1_000_000 && b.subject().startsWith("r"), b.toString());
+        assertTrue(b.chain().get(0).contains("sent to ") && b.chain().get(1).contains("attempt 0 ERROR"), b.toString());
+        assertFalse(b.what().isEmpty());
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/junctionhead/lab/queue/TheoryTest.java
@@ -0,0 +1,84 @@
+package junctionhead.lab.queue;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.stream.IntStream;
+import junctionhead.lab.stats.Interval;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * The bare model against what theory says of it. Each figure is the mean of independent seeds; the theory must lie
+ * within its interval of 99.8%, so that sixteen checks seldom fail by chance, widened where the theory is a limit.
+ */
+class TheoryTest {
+    private static final int SEEDS = 6;
+    private static final double WIDER = 5.89 / 2.571;       // Student's t for 5 degrees: 99.8% over 95%
+
+    private static Interval mean(String policy, int servers, int cores, double lambda, double fastShare, int d,
+            long jobs) {
+        return Interval.of(IntStream.rangeClosed(1, SEEDS).mapToDouble(seed -> QueueModel.run(new QueueModel.Setting(
+            policy, servers, cores, lambda, fastShare, fastShare < 1 ? 1.95 : 1, fastShare < 1 ? 0.6 : 1, d, d / 2,
+            jobs, seed)).meanResponse()).toArray());
+    }
+
+    private static void holds(Interval found, double theory, double bias) {
+        assertTrue(Math.abs(found.mean() - theory) <= WIDER * found.halfWidth() + bias * theory,
+            found + " against " + theory);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1, 0.5", "1, 0.7", "1, 0.9", "4, 0.5", "4, 0.7", "4, 0.9"})
+    void oneQueueWithOneOrMoreCores(int cores, double load) {
+        Interval found = mean("random", 1, cores, cores * load, 1, 1, 600_000);
+        holds(found, Theory.mmc(cores, load), 0);
+        assertTrue(found.halfWidth() < 0.06 * found.mean(), "precise enough to tell: " + found);
+    }
+
+    /** The limit is for infinitely many servers: a thousand may lie up to a hundredth from it. */
+    @ParameterizedTest
+    @CsvSource({"2, 0.7", "2, 0.9", "2, 0.95", "3, 0.7", "3, 0.9", "3, 0.95"})
+    void theShortestOfSeveralQueuesTendsToMitzenmachersLimit(int d, double load) {
+        holds(mean("jsq-d", 1000, 1, load, 1, d, 400_000), Theory.jsqD(d, load), 0.01);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0.5", "0.7", "0.8"})
+    void fastFirstTendsToTheFixedPointOfThePaperWithAJobsOwnServiceCounted(double lambda) {
+        holds(mean("jsq-dfds", 1000, 1, lambda, 0.3, 4, 400_000),
+            Theory.jsqDfDs(2, 2, lambda, 0.3, 1.95, 0.6, false), 0.01);
+    }
+
+    private static QueueModel.Result run(String policy, int servers, double lambda, long jobs) {
+        return QueueModel.run(new QueueModel.Setting(policy, servers, 1, lambda, 1, 1, 1, 4, 1, jobs, 12));
+    }
+
+    @Test
+    void theErlangFormulasAgreeForOneCore() {
+        assertEquals(Theory.mm1(0.8), Theory.mmc(1, 0.8), 1e-12);
+        assertEquals(Theory.mm1(0.8), Theory.jsqD(1, 0.8), 1e-12);
+    }
+
+    @Test
+    void accomplishmentFindsTheFastServersAtHighLoad() {
+        QueueModel.Result r = QueueModel.run(new QueueModel.Setting("jsq-das", 300, 1, 0.9, 0.3, 1.95, 0.6, 4, 2,
+            900_000, 5));
+        assertTrue(r.fastIdentified() > 0.99, "found " + r.fastIdentified());
+    }
+
+    @Test
+    void theModuleItselfBeatsRandomChoiceAndRefusesNothingWhereNoDeadlineIsNear() {
+        QueueModel.Result own = run("balance", 100, 0.8, 60_000);
+        QueueModel.Result random = run("random", 100, 0.8, 60_000);
+        assertEquals(0, own.refused());
+        assertTrue(own.meanResponse() < random.meanResponse() / 2, own + " / " + random);
+    }
+
+    @Test
+    void anOverloadedModelIsRefusedBeforeItRuns() {
+        assertThrows(IllegalArgumentException.class, () -> run("random", 10, 1.0, 1000));
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/junctionhead/lab/world/HardCasesTest.java
@@ -0,0 +1,206 @@
+package junctionhead.lab.world;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import junctionhead.lab.judge.Broken;
+import junctionhead.lab.judge.Day;
+import junctionhead.lab.variants.Variants;
+import junctionhead.policy.Balance;
+import junctionhead.policy.Policy;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Whole days in which something awkward happens: every request still ends once, and the books balance. */
+class HardCasesTest {
+    private static Day own(WorldPlan plan) {
+        return Day.play(plan, 4, Variants.maker(Worlds.variant("balance")));
+    }
+
+    private static String rules(Day day) {
+        return day.broken().stream().map(Broken::toString).reduce("", (a, b) -> a + "\n" + b);
+    }
+
+    @Test
+    void aCalmDayIsServedWhole() {
+        Day day = own(Worlds.small(0.4, 6, Policy.Effect.SAFE));
+        assertEquals("", rules(day));
+        assertTrue(day.figures().get("served") > 0.95, day.figures().toString());
+    }
+
+    @Test
+    void withoutUpstreamsEveryRequestIsRefusedAndNoneLost() {
+        WorldPlan plan = Worlds.small(0.4, 1, Policy.Effect.SAFE, Worlds.trouble("death", 2, 9, 1, 0, 0));
+        Day day = own(plan);
+        assertEquals("", rules(day));
+        assertTrue(day.figures().get("refused") > 0.3, day.figures().toString());
+        assertEquals(0.0, own(Worlds.small(0.4, 0, Policy.Effect.SAFE)).figures().get("rules.broken"));
+    }
+
+    /** Each trouble alone, with requests that may be repeated and with those that must not run twice. */
+    @ParameterizedTest
+    @ValueSource(strings = {"slow", "fast_errors", "grey", "hot_key", "deploy", "same_address", "shared_slow",
+        "rack_lost", "death", "restart", "zone_cut", "zone_cut_one_way", "register_down", "register_twice",
+        "balancers_killed", "balancers_upgraded", "retry_storm", "burst", "clock_step", "taken_out", "network_slow",
+        "loss"})
+    void theModuleKeepsTheRulesThroughEachTrouble(String kind) {
+        assertTrue(Timeline.KINDS.containsKey(kind));
+        double size = switch (kind) {
+            case "fast_errors", "grey", "hot_key", "deploy" -> 0.3;
+            case "loss" -> 0.02;
+            default -> 2;
+        };
+        for (Policy.Effect effect : List.of(Policy.Effect.SAFE, Policy.Effect.UNSAFE)) {
+            Day day = own(Worlds.small(0.5, 9, effect, Worlds.trouble(kind, 3, 4, 0.34, size, 1.5)));
+            assertEquals("", rules(day), kind + " " + effect);
+            assertTrue(day.figures().get("whole") > 0.3, kind + " " + effect + ": " + day.figures());
+        }
+        assertEquals(Timeline.KINDS.size(), 22, "each kind of trouble is named above");
+    }
+
+    @Test
+    void theSameSeedGivesTheSameDayToTheBit() {
+        WorldPlan plan = Worlds.small(0.8, 6, Policy.Effect.SAFE, Worlds.trouble("deploy", 2, 5, 0.6, 0.2, 1.5),
+            Worlds.trouble("balancers_killed", 4, 2, 0.3, 0, 0));
+        assertEquals(own(plan).figures(), own(plan).figures());
+    }
+
+    @Test
+    void anotherPolicyMeetsTheSameArrivals() {
+        WorldPlan plan = Worlds.small(0.7, 6, Policy.Effect.SAFE, Worlds.trouble("slow", 2, 5, 0.3, 4, 0));
+        Day other = Day.play(plan, 4, Variants.maker(Worlds.variant("random")));
+        assertEquals(List.of(own(plan).series().arrivals()[3], own(plan).series().arrivals()[9]),
+            List.of(other.series().arrivals()[3], other.series().arrivals()[9]));
+    }
+
+    /** A balancer killed between a send and its outcome: nobody hears of the outcome, its clients come again. */
+    @Test
+    void aKilledBalancerHearsNothingMore() {
+        List<Long> deaths = new ArrayList<>();
+        List<Long> outcomesAfter = new ArrayList<>();
+        Recorder recorder = new Recorder() {
+            @Override
+            public void outcome(Attempt a, Policy.Outcome outcome, long now) {
+                if (!a.balancer().alive()) {
+                    outcomesAfter.add(now);
+                }
+            }
+
+            @Override
+            public void over(ClientRequest request, boolean served, long now) {
+                if (request.tries > 1 && served) {
+                    deaths.add(now);
+                }
+            }
+        };
+        WorldPlan plan = Worlds.small(0.6, 6, Policy.Effect.SAFE, Worlds.trouble("balancers_killed", 4, 3, 0.3, 0, 0));
+        World world = new World(plan, 9, (settings, seed, truth) -> new Balance(settings, seed), recorder);
+        world.run();
+        assertEquals(List.of(), outcomesAfter);
+        assertTrue(deaths.size() > 3, "clients of the killed one were served by others: " + deaths.size());
+        assertEquals(0, world.clients.open());
+    }
+
+    @Test
+    void aDayDoesNotKeepWhatIsOver() {
+        World world = new World(Worlds.small(0.7, 6, Policy.Effect.SAFE), 2,
+            (settings, seed, truth) -> new Balance(settings, seed), new Recorder());
+        world.run();
+        for (Balancer b : world.processes()) {
+            assertEquals(0, b.open());
+        }
+        assertTrue(world.simulation.waiting() < 1024, "the calendar holds " + world.simulation.waiting());
+    }
+
+    @Test
+    void aSuccessorAtTheSameAddressGetsWhatIsSentToTheOldId() {
+        List<String> targets = new ArrayList<>();
+        Recorder recorder = new Recorder() {
+            @Override
+            public void outcome(Attempt a, Policy.Outcome outcome, long now) {
+                if (outcome == Policy.Outcome.OK && !a.target().equals(a.upstream.id())) {
+                    targets.add(a.target());
+                }
+            }
+        };
+        new World(Worlds.small(0.5, 4, Policy.Effect.SAFE, Worlds.trouble("same_address", 3, 1, 0.5, 0, 0)), 3,
+            (settings, seed, truth) -> new Balance(settings, seed), recorder).run();
+        assertTrue(targets.size() > 0, "until the register tells, the old id leads to the new process");
+    }
+
+    /** Sharing of cores: n equal jobs on c cores end together after n / c times their work. */
+    @ParameterizedTest
+    @CsvSource({"1, 20000", "2, 20000", "4, 40000", "8, 80000"})
+    void jobsInServiceShareTheCores(int jobs, long expected) {
+        List<Long> ends = new ArrayList<>();
+        Recorder recorder = new Recorder() {
+            @Override
+            public void outcome(Attempt a, Policy.Outcome outcome, long now) {
+                ends.add(now);
+            }
+        };
+        WorldPlan plan = Worlds.small(0.0001, 1, Policy.Effect.SAFE);
+        World world = new World(plan, 1, (settings, seed, truth) -> new Balance(settings, seed), recorder);
+        Upstream u = world.upstreams.get(0);
+        Balancer b = new Balancer(world, 0, u.zone, 0, new Balance(world.settings(0, 0), 1));
+        world.simulation.at(100, now -> {
+            for (int i = 0; i < jobs; i++) {
+                ClientRequest c = new ClientRequest(i, 0, 0, 0, -1, 20_000, now, now + Worlds.SECOND, false);
+                Taken t = new Taken("t" + i, i, c, b, now, now + Worlds.SECOND);
+                t.gone = true;
+                u.accept(new Attempt(t, 0, u.id(), u, now), false, now);
+            }
+        });
+        world.simulation.runUntil(10 * Worlds.SECOND);
+        assertEquals(jobs, ends.size());
+        double last = ends.stream().mapToLong(Long::longValue).max().orElse(0) - 100;
+        assertEquals(expected, last, 2000, "the way back takes some 0.2 to 1 ms: " + ends);
+    }
+
+    /** Hears everything and holds nothing against anybody. */
+    private static class Recorder implements Observer {
+        @Override
+        public void taken(Taken request, long now) { }
+
+        @Override
+        public void sending(Attempt attempt, long now) { }
+
+        @Override
+        public void outcome(Attempt attempt, Policy.Outcome outcome, long now) { }
+
+        @Override
+        public void answered(Taken request, Clients.End end, long retryAfter, long now) { }
+
+        @Override
+        public void answeredTwice(Taken request, Clients.End end, long now) { }
+
+        @Override
+        public void overdue(Taken request, long now) { }
+
+        @Override
+        public void told(Balancer balancer, Policy.ListKind kind, List<Policy.Server> servers, long now) { }
+
+        @Override
+        public boolean knowsStart(Balancer balancer, Upstream upstream) {
+            return false;
+        }
+
+        @Override
+        public void fell(Upstream upstream, double told, long now) { }
+
+        @Override
+        public void malformed(Balancer balancer, String what, Taken request, long now) {
+            throw new AssertionError(what);
+        }
+
+        @Override
+        public void asked(ClientRequest request, long now) { }
+
+        @Override
+        public void over(ClientRequest request, boolean served, long now) { }
+    }
+}
