--- a/core/src/test/java/junctionhead/policy/PurityTest.java
+++ b/core/src/test/java/junctionhead/policy/PurityTest.java
@@ -5,6 +5,7 @@
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.library.dependencies.SlicesRuleDefinition;
 import org.junit.jupiter.api.Test;
 
 /** The modules that decide touch neither sockets, files, threads nor clocks, and know no other module. */
@@ -34,6 +35,11 @@
     @Test
     void itKnowsOnlyTheJdkAndItself() {
         noClasses().should().dependOnClassesThat()
-            .resideOutsideOfPackages("java..", "junctionhead.policy..").check(CORE);
+            .resideOutsideOfPackages("java..", "junctionhead..").check(CORE);
+    }
+
+    @Test
+    void thePartsOfCoreDontKnowEachOther() {
+        SlicesRuleDefinition.slices().matching("junctionhead.(*)..").should().notDependOnEachOther().check(CORE);
     }
 }
--- /dev/null
+++ b/lab/src/main/java/junctionhead/lab/cli/ReportCommand.java
@@ -0,0 +1,60 @@
+package junctionhead.lab.cli;
+
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.stream.Stream;
+import junctionhead.lab.experiment.Experiment;
+import junctionhead.lab.experiment.ExperimentReader;
+import junctionhead.lab.experiment.Results;
+import junctionhead.lab.report.HtmlReport;
+import junctionhead.lab.report.IndexPage;
+import junctionhead.lab.report.JsonReport;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** {@code lab report}: all experiments of a folder, with a page for each and one that leads to them. */
+@Command(name = "report", mixinStandardHelpOptions = true, sortOptions = false,
+    description = "Plays all experiments of a folder; writes a page and a JSON for each, and an index. Exit code 1"
+        + " where an expectation doesn't hold.",
+    footer = {"", "Example:", "  bin/lab report --seeds 20 --out before"})
+final class ReportCommand implements Callable<Integer> {
+    @Parameters(paramLabel = "FOLDER", defaultValue = "experiments", description = "Where experiments are.")
+    private Path folder;
+    @Mixin
+    private RunCommand.Playing playing;
+    @Option(names = "--out", defaultValue = "lab/target/reports", description = "Folder for pages; lab/target/reports.")
+    private Path out;
+
+    @Override
+    public Integer call() throws IOException {
+        if (!Files.isDirectory(folder)) {
+            throw new IllegalArgumentException(folder + ": no such folder");
+        }
+        List<Experiment> experiments = new ArrayList<>();
+        try (Stream<Path> files = Files.list(folder)) {
+            for (Path f : files.filter(p -> p.toString().endsWith(".toml")).sorted().toList()) {
+                experiments.add(playing.applied(ExperimentReader.read(f)));     // all are sound before any is played
+            }
+        }
+        Files.createDirectories(out);
+        List<Results> all = new ArrayList<>();
+        for (Experiment e : experiments) {
+            Results r = playing.play(e);
+            all.add(r);
+            HtmlReport.write(r, out.resolve(e.name() + ".html").toFile());
+            JsonReport.write(r, out.resolve(e.name() + ".json").toFile());
+            System.out.println(IndexPage.line(r));
+        }
+        File index = out.resolve("index.html").toFile();
+        IndexPage.write(all, index);
+        LabLog.of(ReportCommand.class).info("index written to {}", index);
+        return all.stream().flatMap(r -> r.verdicts().stream()).allMatch(v -> v.holds()) ? 0 : 1;
+    }
+}
--- a/lab/src/main/java/junctionhead/lab/judge/Score.java
+++ b/lab/src/main/java/junctionhead/lab/judge/Score.java
@@ -44,10 +44,15 @@
     private long fallen;
     private long lists;
     private final List<int[]> held = new ArrayList<>();
+    private final Map<String, Long> sentTo = new java.util.TreeMap<>();
 
-    /** What a day came to, second by second; {@code held}: requests in each upstream, -1 where it is gone. */
+    /**
+     * What a day came to, second by second; {@code held}: requests in each upstream, -1 where it is gone.
+     * {@code sentTo}: attempts by the id they were sent to.
+     */
     public record Series(double[] worth, long[] arrivals, long[] refusals, long[] attempts, List<int[]> held,
-            List<String> upstreams, List<Timeline.Spell> spells, List<double[]> percentiles) { }
+            List<String> upstreams, Map<String, Long> sentTo, List<Timeline.Spell> spells,
+            List<double[]> percentiles) { }
 
     public Score(WorldPlan plan) {
         this.plan = plan;
@@ -112,8 +117,9 @@
         taken++;
     }
 
-    void sent(int earlier, long now) {
+    void sent(String upstream, int earlier, long now) {
         sends++;
+        sentTo.merge(upstream, 1L, Long::sum);
         further += earlier > 0 ? 1 : 0;
         attempts[second(now)]++;
     }
@@ -152,7 +158,7 @@
             }
             percentiles.add(ms);
         }
-        return new Series(worth, arrivals, refusals, attempts, held, world.ids(), world.spells(), percentiles);
+        return new Series(worth, arrivals, refusals, attempts, held, world.ids(), sentTo, world.spells(), percentiles);
     }
 
     /** All figures of the day by name; shares from 0 to 1, times in the unit that the name ends with. */
--- a/lab/src/main/java/junctionhead/lab/report/HtmlReport.java
+++ b/lab/src/main/java/junctionhead/lab/report/HtmlReport.java
@@ -29,7 +29,7 @@
     private static final double QUEUE_FULL = 40;            // requests at which a cell is darkest
     private static final Color[] COLOURS = {new Color(0x1b6ca8), new Color(0xd1495b), new Color(0x3a8d55),
         new Color(0xedae49), new Color(0x6b4c9a), new Color(0x666666), new Color(0x00a6a6), new Color(0x9c6644)};
-    private static final String STYLE = """
+    static final String STYLE = """
         body { font: 15px/1.5 sans-serif; margin: 2em auto; max-width: 1080px; color: #222; padding: 0 1em }
         h1 { font-size: 1.5em } h2 { font-size: 1.15em; margin-top: 2em; border-bottom: 1px solid #ccc }
         table { border-collapse: collapse; font-variant-numeric: tabular-nums }
@@ -202,16 +202,20 @@
         if (rows == 0) {
             return;
         }
-        int wide = Math.max(2, 880 / columns);
+        int wide = Math.max(2, 820 / columns);
+        double sent = Math.max(1, s.sentTo().values().stream().mapToLong(Long::longValue).sum());
         int high = 12;
         page.append("<h3>").append(text(variant)).append(": requests in each upstream, second by second</h3>")
             .append("<p class=\"note\">White: none; darkest: ").append((int) QUEUE_FULL)
-            .append(" or more; grey: not running.").append(rows < all ? " The first " + rows + " of " + all + "."
+            .append(" or more; grey: not running. On the right its share of all attempts.").append(rows < all ? " The first " + rows + " of " + all + "."
                 : "").append("</p><svg xmlns=\"http://www.w3.org/2000/svg\" width=\"")
-            .append(80 + wide * columns).append("\" height=\"").append(rows * high + 20).append("\">");
+            .append(130 + wide * columns).append("\" height=\"").append(rows * high + 20).append("\">");
         for (int row = 0; row < rows; row++) {
             page.append(String.format(Locale.ROOT, "<text x=\"0\" y=\"%d\" font-size=\"10\">%s</text>",
                 row * high + 10, text(s.upstreams().get(row))));
+            page.append(String.format(Locale.ROOT, "<text x=\"%d\" y=\"%d\" font-size=\"10\">%.1f%%</text>",
+                76 + wide * columns, row * high + 10,
+                100 * s.sentTo().getOrDefault(s.upstreams().get(row), 0L) / sent));
             int from = 0;
             for (int c = 1; c <= columns; c++) {
                 String shade = shade(s.held().get(from), row);
@@ -257,7 +261,7 @@
         return Arrays.stream(values).asDoubleStream().toArray();
     }
 
-    private static String text(String raw) {
+    static String text(String raw) {
         return raw.replace("&", "&amp;").replace("<", "&lt;").replace(">", "&gt;");
     }
 }
--- a/lab/src/main/java/junctionhead/lab/world/Attempt.java
+++ b/lab/src/main/java/junctionhead/lab/world/Attempt.java
@@ -13,7 +13,6 @@
     final Upstream upstream;
     Simulation.Timer timeout;
     private boolean out = true;
-    private boolean running;
     private boolean mayHaveRun = true;
 
     Attempt(Taken taken, int number, String target, Upstream upstream, long sentAt) {
@@ -63,14 +62,6 @@
         return taken.balancer();
     }
 
-    void running(long now) {
-        running = true;
-    }
-
-    boolean ran() {
-        return running;
-    }
-
     void ended(Policy.Outcome outcome) {
         out = false;
         mayHaveRun = !outcome.neverRan();
--- a/lab/src/main/java/junctionhead/lab/world/Balancer.java
+++ b/lab/src/main/java/junctionhead/lab/world/Balancer.java
@@ -35,7 +35,6 @@
         }
     };
     private boolean alive = true;
-    private boolean leaving;
 
     Balancer(World world, int rank, int zone, int incarnation, Policy policy) {
         this.world = world;
@@ -65,15 +64,6 @@
         return alive;
     }
 
-    /** Serves on but takes nothing new: a successor does. */
-    boolean leaving() {
-        return leaving;
-    }
-
-    void leave() {
-        leaving = true;
-    }
-
     Policy policy() {
         return policy;
     }
--- a/lab/src/main/java/junctionhead/lab/world/Timeline.java
+++ b/lab/src/main/java/junctionhead/lab/world/Timeline.java
@@ -29,6 +29,7 @@
         Map.entry("register_down", "discovery is down"),
         Map.entry("register_twice", "discovery lists each id twice"),
         Map.entry("balancers_killed", "part of the balancers are killed at once and come back at the end"),
+        Map.entry("balancers_restarted", "part of the balancers end in order one by one, each is back after extra s"),
         Map.entry("balancers_upgraded", "part of the balancers replaced one by one, two processes at a time"),
         Map.entry("retry_storm", "clients try size times more, without waits"),
         Map.entry("burst", "size times as many arrivals"),
@@ -113,6 +114,7 @@
             case "register_twice" -> during(from, length, now -> world.register.listsTwice(true),
                 now -> world.register.listsTwice(false));
             case "balancers_killed" -> balancersKilled(from, length, part, draws);
+            case "balancers_restarted" -> balancersRestarted(from, length, part, Math.round(extra * SECOND), draws);
             case "balancers_upgraded" -> balancersUpgraded(from, length, part, draws);
             case "retry_storm" -> during(from, length, now -> world.clients.storm((int) Math.round(size)),
                 now -> world.clients.storm(0));
@@ -296,9 +298,36 @@
         }
     }
 
+    // A planned restart: the front is told at once, what is open is answered or cut after the longest deadline.
+    private void balancersRestarted(long from, long length, double part, long start, Draws draws) {
+        List<BalancerSlot> chosen = slots(part, draws);
+        for (int i = 0; i < chosen.size(); i++) {
+            BalancerSlot s = chosen.get(i);
+            world.simulation.at(from + length * i / chosen.size(), now -> {
+                Balancer old = s.serving();
+                if (old == null) {
+                    return;
+                }
+                s.admitted(false);
+                world.simulation.at(now + longestDeadline(), at -> {
+                    if (old.alive()) {
+                        old.die(at);
+                    }
+                });
+                world.simulation.at(now + longestDeadline() + start, at -> {
+                    world.boot(s, null);
+                    s.admitted(true);
+                });
+            });
+        }
+    }
+
+    private long longestDeadline() {
+        return world.plan.classes().stream().mapToLong(WorldPlan.RequestKind::deadline).max().orElse(0);
+    }
+
     private void balancersUpgraded(long from, long length, double part, Draws draws) {
         List<BalancerSlot> chosen = slots(part, draws);
-        long longest = world.plan.classes().stream().mapToLong(WorldPlan.RequestKind::deadline).max().orElse(0);
         for (int i = 0; i < chosen.size(); i++) {
             BalancerSlot s = chosen.get(i);
             world.simulation.at(from + length * i / chosen.size(), now -> {
@@ -306,11 +335,10 @@
                 if (old == null) {
                     return;
                 }
-                old.leave();
                 Balancer next = world.boot(s, old.policy().learnt(now));
                 old.policy().share(0.5);
                 next.policy().share(0.5);
-                world.simulation.at(now + longest + 700_000, at -> {
+                world.simulation.at(now + longestDeadline() + 700_000, at -> {
                     if (old.alive()) {
                         old.die(at);
                     }
--- a/lab/src/main/java/junctionhead/lab/world/Upstream.java
+++ b/lab/src/main/java/junctionhead/lab/world/Upstream.java
@@ -239,7 +239,7 @@
             });
         } else if (serving.size() < slots) {
             settle(now);
-            begin(new Job(a, needed), now);
+            begin(new Job(a, needed));
             retune(now);
         } else if (waiting.size() < room) {
             waiting.add(new Job(a, needed));
@@ -268,10 +268,9 @@
         }
     }
 
-    private void begin(Job job, long now) {
+    private void begin(Job job) {
         job.end = virtual + job.work;
         serving.add(job);
-        job.attempt.running(now);
     }
 
     private void settle(long now) {
@@ -313,7 +312,7 @@
                 world.reply(job.attempt, this, Policy.Outcome.OK, now);
             }
             if (!waiting.isEmpty()) {
-                begin(waiting.poll(), now);
+                begin(waiting.poll());
             }
         }
         retune(now);
--- a/lab/src/test/java/junctionhead/lab/world/HardCasesTest.java
+++ b/lab/src/test/java/junctionhead/lab/world/HardCasesTest.java
@@ -45,8 +45,8 @@
     @ParameterizedTest
     @ValueSource(strings = {"slow", "fast_errors", "grey", "hot_key", "deploy", "same_address", "shared_slow",
         "rack_lost", "death", "restart", "zone_cut", "zone_cut_one_way", "register_down", "register_twice",
-        "balancers_killed", "balancers_upgraded", "retry_storm", "burst", "clock_step", "taken_out", "network_slow",
-        "loss"})
+        "balancers_killed", "balancers_restarted", "balancers_upgraded", "retry_storm", "burst", "clock_step",
+        "taken_out", "network_slow", "loss"})
     void theModuleKeepsTheRulesThroughEachTrouble(String kind) {
         assertTrue(Timeline.KINDS.containsKey(kind));
         double size = switch (kind) {
@@ -59,7 +59,7 @@
             assertEquals("", rules(day), kind + " " + effect);
             assertTrue(day.figures().get("whole") > 0.3, kind + " " + effect + ": " + day.figures());
         }
-        assertEquals(Timeline.KINDS.size(), 22, "each kind of trouble is named above");
+        assertEquals(Timeline.KINDS.size(), 23, "each kind of trouble is named above");
     }
 
     @Test
