--- a/lab/src/main/java/junctionhead/lab/report/HtmlReport.java
+++ b/lab/src/main/java/junctionhead/lab/report/HtmlReport.java
@@ -207,8 +207,10 @@
         int high = 12;
         page.append("<h3>").append(text(variant)).append(": requests in each upstream, second by second</h3>")
             .append("<p class=\"note\">White: none; darkest: ").append((int) QUEUE_FULL)
-            .append(" or more; grey: not running. On the right its share of all attempts.").append(rows < all ? " The first " + rows + " of " + all + "."
-                : "").append("</p><svg xmlns=\"http://www.w3.org/2000/svg\" width=\"")
+            .append(" or more; grey: not running. On the right its share of all attempts.")
+            .append(rows < all ? " The first " + rows + " of " + all + "."
+                : "")
+            .append("</p><svg xmlns=\"http://www.w3.org/2000/svg\" width=\"")
             .append(130 + wide * columns).append("\" height=\"").append(rows * high + 20).append("\">");
         for (int row = 0; row < rows; row++) {
             page.append(String.format(Locale.ROOT, "<text x=\"0\" y=\"%d\" font-size=\"10\">%s</text>",
