--- a/lab/src/main/java/junctionhead/lab/cli/ScaleCommand.java
+++ b/lab/src/main/java/junctionhead/lab/cli/ScaleCommand.java
@@ -10,6 +10,7 @@
 import junctionhead.lab.experiment.Experiment;
 import junctionhead.lab.experiment.ExperimentReader;
 import junctionhead.lab.judge.Day;
+import junctionhead.lab.policies.Quiet;
 import junctionhead.lab.variants.Metered;
 import junctionhead.lab.variants.Variants;
 import junctionhead.lab.variants.Variants.Variant;
@@ -97,7 +98,7 @@
         long before = used();
         for (int m = 0; m < MODULES; m++) {
             Policy p = maker.make(settings, m, null);
-            Metered.Quiet out = new Metered.Quiet();
+            Quiet out = new Quiet();
             p.servers(1, Policy.ListKind.PERSISTED, fleet, out);
             for (int i = 0; i < 2_000; i++) {
                 long now = 1_000 + i * 10_000L;
--- a/lab/src/main/java/junctionhead/lab/queue/QueueModel.java
+++ b/lab/src/main/java/junctionhead/lab/queue/QueueModel.java
@@ -4,6 +4,7 @@
 import java.util.stream.IntStream;
 import junctionhead.lab.policies.Chooser;
 import junctionhead.lab.policies.Choosers;
+import junctionhead.lab.policies.Quiet;
 import junctionhead.lab.policies.ServerView;
 import junctionhead.lab.sim.Draws;
 import junctionhead.lab.sim.Event;
@@ -237,7 +238,7 @@
     }
 
     /** The program's own module, told of the fleet without kinds or weights and with deadlines out of reach. */
-    private final class ByModule implements Dispatcher, Policy.Actions {
+    private final class ByModule extends Quiet implements Dispatcher {
         private final Policy policy;
 
         ByModule(long seed) {
@@ -285,26 +286,5 @@
             Event wake = now -> policy.wake(now, this);
             simulation.after(delay, wake);
         }
-
-        @Override
-        public void cancel(String request, int attempt) { }
-
-        @Override
-        public void probe(String server) { }
-
-        @Override
-        public void watch(boolean on) { }
-
-        @Override
-        public void fetchList() { }
-
-        @Override
-        public void closeIdle(String server) { }
-
-        @Override
-        public void tell(int peer, byte[] data) { }
-
-        @Override
-        public void remark(String line) { }
     }
 }
--- a/lab/src/main/java/junctionhead/lab/variants/Metered.java
+++ b/lab/src/main/java/junctionhead/lab/variants/Metered.java
@@ -33,42 +33,6 @@
         }
     }
 
-    /** Takes what a module asks for and does nothing. */
-    public static final class Quiet implements Actions {
-        @Override
-        public void send(String request, String server, long timeout) { }
-
-        @Override
-        public void refuse(String request, long retryAfter) { }
-
-        @Override
-        public void fail(String request) { }
-
-        @Override
-        public void cancel(String request, int attempt) { }
-
-        @Override
-        public void probe(String server) { }
-
-        @Override
-        public void watch(boolean on) { }
-
-        @Override
-        public void fetchList() { }
-
-        @Override
-        public void closeIdle(String server) { }
-
-        @Override
-        public void tell(int peer, byte[] data) { }
-
-        @Override
-        public void wakeAfter(long delay) { }
-
-        @Override
-        public void remark(String line) { }
-    }
-
     private final Policy policy;
     private final Meter meter;
     private final LongSupplier clock;
