Join routes and limits to a front that picks the pool, with limits that learn

Reason: several fleets behind one process need one pure module that says which pool takes a request, or that none does, the same on sockets and in the laboratory.

Change: core package front (route, retry budget, rates, split and overflow, the pool's limit, in that order); four concurrency limits (fixed, AIMD, Vegas, gradient) with a base latency that is probed, and learnt anew where a lowered limit has not lowered the latency; health of a pool; token tree and budgets keep part for what is worth more and go over by name when a plan is swapped. A request stays with the pool that took it.

--- /dev/null
+++ b/core/src/main/java/junctionhead/limits/FixedLimit.java
@@ -0,0 +1,18 @@
+package junctionhead.limits;
+
+/** A limit that stays as it was set. */
+final class FixedLimit implements ConcurrencyLimit {
+    private final int limit;
+
+    FixedLimit(int limit) {
+        this.limit = limit;
+    }
+
+    @Override
+    public int limit() {
+        return limit;
+    }
+
+    @Override
+    public void ended(long now, long latency, boolean dropped, int open) { }
+}
--- a/core/src/main/java/junctionhead/limits/RetryBudget.java
+++ b/core/src/main/java/junctionhead/limits/RetryBudget.java
@@ -38,6 +38,12 @@
         balance = free + (balance - free) * Math.exp(-passed / window);
     }
 
+    /** Goes on from another budget, with what that one had left. */
+    public void resume(RetryBudget former) {
+        balance = former.balance;
+        at = former.at;
+    }
+
     /** A first try has come. */
     public void deposit(long now) {
         refresh(now);
--- a/core/src/main/java/junctionhead/limits/TokenTree.java
+++ b/core/src/main/java/junctionhead/limits/TokenTree.java
@@ -71,20 +71,39 @@
         return root;
     }
 
+    /** Whether there is such a node. */
+    public boolean has(String name) {
+        return nodes.containsKey(name);
+    }
+
+    private Node node(String name) {
+        Node node = nodes.get(name);
+        if (node == null) {
+            throw new IllegalArgumentException("no limit '" + name + "'");
+        }
+        return node;
+    }
+
     /**
      * Takes one token for a request at that node; false where it is over its limits.
      *
      * @throws IllegalArgumentException for a node that there isn't
      */
     public boolean take(long now, String name) {
-        Node leaf = nodes.get(name);
-        if (leaf == null) {
-            throw new IllegalArgumentException("no limit '" + name + "'");
-        }
+        return take(now, name, 0);
+    }
+
+    /**
+     * The same, where a part of the burst is kept for requests that are worth more.
+     *
+     * @param kept from 0 to under 1: the share of the node's burst that this request must leave
+     */
+    public boolean take(long now, String name, double kept) {
+        Node leaf = node(name);
         for (Node n = leaf; n != null; n = n.parent) {
             n.refresh(now);
         }
-        if (leaf.own < 1 && !mayBorrow(leaf)) {
+        if (leaf.own < 1 + kept * (leaf.rate.burst - 1) && !mayBorrow(leaf, kept)) {
             return false;
         }
         leaf.own = Math.max(0, leaf.own - 1);
@@ -96,12 +115,36 @@
         return true;
     }
 
-    private static boolean mayBorrow(Node leaf) {
+    private static boolean mayBorrow(Node leaf, double kept) {
         for (Node n = leaf; n.parent != null && n.ceiling >= 1; n = n.parent) {
-            if (n.parent.own >= 1) {
+            if (n.parent.own >= 1 + kept * (n.parent.rate.burst - 1)) {
                 return true;
             }
         }
         return false;
     }
+
+    /** After what time (µs) a request at that node may pass by its own rate; the largest long where never. */
+    public long wait(long now, String name) {
+        Node leaf = node(name);
+        leaf.refresh(now);
+        double lacks = 1 - leaf.own;
+        return lacks <= 0 ? 0 : leaf.rate.perSecond <= 0 ? Long.MAX_VALUE
+            : (long) Math.ceil(lacks / leaf.rate.perSecond * 1e6);
+    }
+
+    /**
+     * Goes on from another tree, by name: a node begins with what its namesake had left, at most its own burst. So
+     * limits that are changed often don't grant a burst each time.
+     */
+    public void resume(TokenTree former) {
+        former.nodes.forEach((name, before) -> {
+            Node node = nodes.get(name);
+            if (node != null) {
+                node.own = Math.min(node.rate.burst, before.own);
+                node.ceiling = Math.min(node.rate.burst, before.ceiling);
+                node.at = before.at;
+            }
+        });
+    }
 }
--- a/core/src/main/java/junctionhead/routes/Overflow.java
+++ b/core/src/main/java/junctionhead/routes/Overflow.java
@@ -59,6 +59,14 @@
         return shares.clone();
     }
 
+    /** Goes on from another's shares, where it is between as many pools. */
+    public void resume(Overflow former) {
+        if (former.shares.length == shares.length) {
+            System.arraycopy(former.shares, 0, shares, 0, shares.length);
+            at = former.at;
+        }
+    }
+
     private double able(int pool, double[] healthy) {
         return Math.min(limits[pool], Math.min(1, spare * Math.max(0, healthy[pool])));
     }
--- /dev/null
+++ b/core/src/test/java/junctionhead/routes/PoolHealthTest.java
@@ -0,0 +1,37 @@
+package junctionhead.routes;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+class PoolHealthTest {
+    private static final long SECOND = 1_000_000;
+
+    @Test
+    void strengthIsStatedOrLearntAndASmallerFleetIsTheFullOneInTime() {
+        PoolHealth stated = new PoolHealth(10);
+        assertEquals(0, stated.healthy(0, 1, 1.2), "nothing is listed yet");
+        stated.listed(0, 4);
+        assertEquals(0.4, stated.healthy(3600 * SECOND, 1, 1.2), 1e-9);
+        PoolHealth learnt = new PoolHealth(0);
+        learnt.listed(0, 10);
+        learnt.listed(1, 5);
+        assertEquals(0.5, learnt.healthy(2, 1, 1.2), 1e-6);
+        assertTrue(learnt.healthy(3600 * SECOND, 1, 1.2) > 0.99);
+        learnt.listed(3600 * SECOND, 0);
+        assertEquals(0, learnt.healthy(3600 * SECOND, 1, 1.2));
+    }
+
+    @Test
+    void whatItServesOfWhatItGetsIsWhatItCan() {
+        PoolHealth h = new PoolHealth(10);
+        h.listed(0, 10);
+        for (int i = 0; i < 2000; i++) {
+            h.ended(i * 500L, i % 2 == 0);
+        }
+        assertEquals(0.5, h.healthy(SECOND, 1, 1), 0.01);
+        assertEquals(0.25, h.healthy(SECOND, 0.5, 1), 0.01, "half of the half that it gets");
+        assertEquals(1, h.healthy(60 * SECOND, 0.5, 1), 1e-9, "and is forgotten when nothing more goes wrong");
+    }
+}
