--- a/lab/src/main/java/junctionhead/lab/cli/ListCommand.java
+++ b/lab/src/main/java/junctionhead/lab/cli/ListCommand.java
@@ -8,10 +8,10 @@
 import java.util.stream.Stream;
 import junctionhead.lab.experiment.Experiment;
 import junctionhead.lab.experiment.ExperimentReader;
-import junctionhead.lab.experiment.Faults;
 import junctionhead.lab.judge.Score;
 import junctionhead.lab.variants.Variants;
 import junctionhead.lab.world.Timeline;
+import junctionhead.toml.Faults;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Parameters;
 
--- a/lab/src/main/java/junctionhead/lab/experiment/Expectation.java
+++ b/lab/src/main/java/junctionhead/lab/experiment/Expectation.java
@@ -4,6 +4,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import junctionhead.lab.stats.Interval;
+import junctionhead.toml.Section;
 
 /**
  * What an experiment is expected to show: {@code figure}, {@code figure[variant]}, {@code max(figure, variant)},
--- a/lab/src/main/java/junctionhead/lab/experiment/ExperimentReader.java
+++ b/lab/src/main/java/junctionhead/lab/experiment/ExperimentReader.java
@@ -7,15 +7,19 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import junctionhead.lab.experiment.Section.Measure;
 import junctionhead.lab.judge.Score;
 import junctionhead.lab.policies.Choosers;
-import junctionhead.lab.variants.Variants;
+import junctionhead.lab.variants.FrontSpec;
 import junctionhead.lab.variants.Variants.Variant;
+import junctionhead.lab.variants.Variants;
 import junctionhead.lab.world.Range;
 import junctionhead.lab.world.Timeline;
 import junctionhead.lab.world.WorldPlan;
 import junctionhead.policy.Policy;
+import junctionhead.toml.Faults;
+import junctionhead.toml.Section.Measure;
+import junctionhead.toml.Section;
+import junctionhead.toml.Source;
 
 /** Reads experiments, strictly: every fault is named, with file and line, before anything runs. */
 public final class ExperimentReader {
@@ -40,7 +44,8 @@
         List<String> expected = head.texts("expect", List.of());
         head.done();
         WorldPlan plan = plan(root);
-        List<Variant> variants = variants(root, plan);
+        FrontSpec front = root.has("front") ? FrontReader.read(root.table("front"), plan) : null;
+        List<Variant> variants = variants(root, plan, front);
         root.done();
         source.check();
         List<String> figures = Score.names(plan);
@@ -57,7 +62,16 @@
         return new Experiment(name, question, plan, firstSeed, seeds, variants, expectations);
     }
 
-    private static List<Variant> variants(Section root, WorldPlan plan) {
+    private static Range range(Section s, String key, Measure measure) {
+        double[] pair = s.pair(key, measure);
+        return new Range(pair[0], pair[1]);
+    }
+
+    private static Range range(Section s, String key, Measure measure, Range otherwise) {
+        return s.has(key) ? range(s, key, measure) : otherwise;
+    }
+
+    private static List<Variant> variants(Section root, WorldPlan plan, FrontSpec front) {
         double fast = plan.kinds().isEmpty() ? 0.5 : plan.kinds().get(0).share().middle();
         List<Variant> all = new ArrayList<>();
         Set<String> names = new HashSet<>();
@@ -77,8 +91,10 @@
                 s.fault("a", "'a' is " + a + ": at most d, which is " + d);
             }
             double share = s.number("fast_share", Measure.SHARE, Math.min(1, fast));
+            FrontSpec.Use use = FrontReader.use(s, front);
+            boolean calm = s.flag("calm", false);
             s.done();
-            all.add(new Variant(name, policy, new Choosers.Figures(Math.max(1, d), Math.min(a, d), share)));
+            all.add(new Variant(name, policy, new Choosers.Figures(Math.max(1, d), Math.min(a, d), share), use, calm));
         }
         if (all.isEmpty()) {
             Choosers.Figures usual = new Choosers.Figures(4, 2, Math.min(1, fast));
@@ -94,29 +110,29 @@
         if (length < 1_000_000) {
             w.fault("length", "'length' is under a second");
         }
-        Range balancers = w.range("balancers", Measure.COUNT);
-        Range upstreams = w.range("upstreams", Measure.NUMBER);
+        Range balancers = range(w, "balancers", Measure.COUNT);
+        Range upstreams = range(w, "upstreams", Measure.NUMBER);
         List<String> zones = w.texts("zones", List.of("here"));
         if (zones.isEmpty()) {
             w.fault("zones", "'zones' is empty: one at least is wanted");
         }
         w.done();
         Section l = root.table("load");
-        WorldPlan.Load load = new WorldPlan.Load(l.range("level", Measure.NUMBER),
-            l.word("shape", WorldPlan.Shape.class, WorldPlan.Shape.STEADY), l.range("swing", Measure.SHARE, NONE),
-            l.range("zone_skew", Measure.SHARE, NONE), l.range("keys", Measure.NUMBER, NONE),
-            l.range("key_zipf", Measure.NUMBER, NONE), l.range("quota", Measure.NUMBER, ONE));
+        WorldPlan.Load load = new WorldPlan.Load(range(l, "level", Measure.NUMBER),
+            l.word("shape", WorldPlan.Shape.class, WorldPlan.Shape.STEADY), range(l, "swing", Measure.SHARE, NONE),
+            range(l, "zone_skew", Measure.SHARE, NONE), range(l, "keys", Measure.NUMBER, NONE),
+            range(l, "key_zipf", Measure.NUMBER, NONE), range(l, "quota", Measure.NUMBER, ONE));
         l.done();
         Section n = root.table("network");
-        WorldPlan.Network network = new WorldPlan.Network(n.range("same", Measure.TIME),
-            n.range("cross", Measure.TIME, Range.of(1000)), n.range("client", Measure.TIME, Range.of(500)),
-            n.range("jitter", Measure.SHARE, NONE), n.number("loss", Measure.SHARE, 0));
+        WorldPlan.Network network = new WorldPlan.Network(range(n, "same", Measure.TIME),
+            range(n, "cross", Measure.TIME, Range.of(1000)), range(n, "client", Measure.TIME, Range.of(500)),
+            range(n, "jitter", Measure.SHARE, NONE), n.number("loss", Measure.SHARE, 0));
         n.done();
         Section c = root.table("clients");
-        WorldPlan.Clients clients = new WorldPlan.Clients(c.range("retries", Measure.NUMBER, NONE),
-            c.range("try_share", Measure.SHARE, ONE), c.range("backoff", Measure.TIME, Range.of(50_000)),
-            c.range("honour", Measure.SHARE, ONE), c.range("impatient", Measure.SHARE, NONE),
-            c.range("notice", Measure.TIME, Range.of(2_000_000)), c.flag("marks_retry", false));
+        WorldPlan.Clients clients = new WorldPlan.Clients(range(c, "retries", Measure.NUMBER, NONE),
+            range(c, "try_share", Measure.SHARE, ONE), range(c, "backoff", Measure.TIME, Range.of(50_000)),
+            range(c, "honour", Measure.SHARE, ONE), range(c, "impatient", Measure.SHARE, NONE),
+            range(c, "notice", Measure.TIME, Range.of(2_000_000)), c.flag("marks_retry", false));
         c.done();
         Section d = root.table("discovery");
         String mode = d.text("mode", "push");
@@ -124,11 +140,11 @@
             d.fault("mode", "'mode' is \"" + mode + "\"; there are ask, push");
         }
         WorldPlan.Discovery discovery = new WorldPlan.Discovery(mode.equals("ask"),
-            d.range("notice", Measure.TIME, Range.of(1_000_000)),
-            d.range("silent_notice", Measure.TIME, Range.of(5_000_000)),
-            d.range("add", Measure.TIME, Range.of(500_000)), d.range("period", Measure.TIME, Range.of(200_000)),
-            d.range("spread", Measure.TIME, Range.of(50_000)), d.range("capacity", Measure.NUMBER, Range.of(1000)),
-            d.range("call_lines", Measure.COUNT, Range.of(1000)), d.time("timeout", 2_000_000));
+            range(d, "notice", Measure.TIME, Range.of(1_000_000)),
+            range(d, "silent_notice", Measure.TIME, Range.of(5_000_000)),
+            range(d, "add", Measure.TIME, Range.of(500_000)), range(d, "period", Measure.TIME, Range.of(200_000)),
+            range(d, "spread", Measure.TIME, Range.of(50_000)), range(d, "capacity", Measure.NUMBER, Range.of(1000)),
+            range(d, "call_lines", Measure.COUNT, Range.of(1000)), d.time("timeout", 2_000_000));
         d.done();
         Section r = root.table("rules");
         WorldPlan.Rules rules = new WorldPlan.Rules(r.time("answer_slack", 20_000), r.time("drain_grace", 1_500_000),
@@ -151,19 +167,20 @@
             p.number("waste", Measure.SHARE, 0), p.number("probe", Measure.SHARE, 0),
             p.number("late_fail", Measure.SHARE, 0), p.number("handshake", Measure.SHARE, 0));
         p.done();
+        List<WorldPlan.Kind> kinds = kinds(root);
         return new WorldPlan(length, balancers, upstreams, zones, load, network, clients, discovery, rules, goal,
-            prices, fleet(root), kinds(root), classes(root), tenants(root), troubles(root));
+            prices, fleet(root), kinds, classes(root), tenants(root), troubles(root, kinds));
     }
 
     private static WorldPlan.Fleet fleet(Section root) {
         Section f = root.table("fleet");
-        WorldPlan.Fleet fleet = new WorldPlan.Fleet(f.range("rack_size", Measure.COUNT, Range.of(4)),
-            f.range("limited_racks", Measure.SHARE, NONE), f.range("rack_limit", Measure.SHARE, ONE),
-            f.range("handshake_rtts", Measure.NUMBER, ONE), f.range("handshake_work", Measure.TIME, NONE),
+        WorldPlan.Fleet fleet = new WorldPlan.Fleet(range(f, "rack_size", Measure.COUNT, Range.of(4)),
+            range(f, "limited_racks", Measure.SHARE, NONE), range(f, "rack_limit", Measure.SHARE, ONE),
+            range(f, "handshake_rtts", Measure.NUMBER, ONE), range(f, "handshake_work", Measure.TIME, NONE),
             f.time("idle", 60_000_000), f.time("connect_timeout", 100_000),
-            f.range("connections_per_core", Measure.NUMBER, Range.of(1000)), f.range("full_tax", Measure.SHARE, NONE),
-            f.range("key_gain", Measure.SHARE, NONE), f.range("key_memory", Measure.TIME, NONE),
-            f.range("keys_per_core", Measure.NUMBER, NONE));
+            range(f, "connections_per_core", Measure.NUMBER, Range.of(1000)), range(f, "full_tax", Measure.SHARE, NONE),
+            range(f, "key_gain", Measure.SHARE, NONE), range(f, "key_memory", Measure.TIME, NONE),
+            range(f, "keys_per_core", Measure.NUMBER, NONE));
         f.done();
         return fleet;
     }
@@ -171,13 +188,14 @@
     private static List<WorldPlan.Kind> kinds(Section root) {
         List<WorldPlan.Kind> all = new ArrayList<>();
         for (Section k : root.tables("kind")) {
-            all.add(new WorldPlan.Kind(k.text("name", null), k.range("share", Measure.NUMBER, ONE),
-                (int) k.number("cores", Measure.COUNT, 1), k.range("speed", Measure.NUMBER, ONE),
-                k.range("speed_cv", Measure.SHARE, NONE), k.range("slots_per_core", Measure.NUMBER, Range.of(4)),
-                k.range("queue_per_core", Measure.NUMBER, Range.of(20)), k.number("thrash", Measure.NUMBER, 0),
-                k.range("thrash_at", Measure.NUMBER, Range.of(8)), k.range("cold_from", Measure.SHARE, ONE),
-                k.range("cold", Measure.TIME, NONE), k.word("warm_by", WorldPlan.WarmBy.class, WorldPlan.WarmBy.TIME),
-                k.range("errors", Measure.SHARE, NONE), k.number("cancel_drops", Measure.SHARE, 0)));
+            all.add(new WorldPlan.Kind(k.text("name", null), range(k, "share", Measure.NUMBER, ONE),
+                (int) k.number("cores", Measure.COUNT, 1), range(k, "speed", Measure.NUMBER, ONE),
+                range(k, "speed_cv", Measure.SHARE, NONE), range(k, "slots_per_core", Measure.NUMBER, Range.of(4)),
+                range(k, "queue_per_core", Measure.NUMBER, Range.of(20)), k.number("thrash", Measure.NUMBER, 0),
+                range(k, "thrash_at", Measure.NUMBER, Range.of(8)), range(k, "cold_from", Measure.SHARE, ONE),
+                range(k, "cold", Measure.TIME, NONE), k.word("warm_by", WorldPlan.WarmBy.class, WorldPlan.WarmBy.TIME),
+                range(k, "errors", Measure.SHARE, NONE), k.number("cancel_drops", Measure.SHARE, 0),
+                k.text("pool", WorldPlan.Kind.SITE)));
             k.done();
         }
         if (all.isEmpty()) {
@@ -194,9 +212,9 @@
             if (aim <= 0 || deadline < aim) {
                 k.fault("deadline", "'deadline' is before the aim");
             }
-            all.add(new WorldPlan.RequestKind(k.text("name", null), k.range("share", Measure.NUMBER, ONE),
-                k.range("work", Measure.TIME), k.word("dist", WorldPlan.Spread.class, WorldPlan.Spread.EXPONENTIAL),
-                k.range("cv", Measure.NUMBER, ONE), k.range("attempt_noise", Measure.NUMBER, NONE), aim,
+            all.add(new WorldPlan.RequestKind(k.text("name", null), range(k, "share", Measure.NUMBER, ONE),
+                range(k, "work", Measure.TIME), k.word("dist", WorldPlan.Spread.class, WorldPlan.Spread.EXPONENTIAL),
+                range(k, "cv", Measure.NUMBER, ONE), range(k, "attempt_noise", Measure.NUMBER, NONE), aim,
                 Math.max(aim, deadline), k.number("worth", Measure.NUMBER, 1),
                 k.number("late_worth", Measure.SHARE, 0),
                 k.word("effect", Policy.Effect.class, Policy.Effect.SAFE)));
@@ -212,13 +230,14 @@
         List<WorldPlan.Tenant> all = new ArrayList<>();
         for (Section t : root.tables("tenant")) {
             all.add(new WorldPlan.Tenant(t.text("name", null), t.number("share", Measure.SHARE),
-                t.range("usage", Measure.NUMBER, ONE)));
+                range(t, "usage", Measure.NUMBER, ONE)));
             t.done();
         }
         return all;
     }
 
-    private static List<WorldPlan.Trouble> troubles(Section root) {
+    private static List<WorldPlan.Trouble> troubles(Section root, List<WorldPlan.Kind> ofFleet) {
+        List<String> pools = ofFleet.stream().map(WorldPlan.Kind::pool).distinct().toList();
         List<WorldPlan.Trouble> all = new ArrayList<>();
         Map<String, String> kinds = Timeline.KINDS;
         for (Section t : root.tables("trouble")) {
@@ -228,9 +247,14 @@
                     + String.join(", ", kinds.keySet().stream().sorted().toList())
                     + Section.meant(kind, kinds.keySet()));
             }
-            all.add(new WorldPlan.Trouble(kind, t.range("at", Measure.TIME),
-                t.range("length", Measure.TIME, Range.of(1_000_000)), t.range("part", Measure.SHARE, ONE),
-                t.range("size", Measure.NUMBER, NONE), t.range("extra", Measure.SIGNED, NONE)));
+            WorldPlan.Trouble trouble = new WorldPlan.Trouble(kind, range(t, "at", Measure.TIME),
+                range(t, "length", Measure.TIME, Range.of(1_000_000)), range(t, "part", Measure.SHARE, ONE),
+                range(t, "size", Measure.NUMBER, NONE), range(t, "extra", Measure.SIGNED, NONE),
+                t.has("of") ? t.text("of", null) : null);
+            if (trouble.of() != null && !pools.contains(trouble.of())) {
+                t.fault("of", "no [[kind]] is of pool '" + trouble.of() + "'" + Section.meant(trouble.of(), pools));
+            }
+            all.add(trouble);
             t.done();
         }
         return all;
--- /dev/null
+++ b/lab/src/main/java/junctionhead/lab/experiment/FrontReader.java
@@ -0,0 +1,128 @@
+package junctionhead.lab.experiment;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import junctionhead.lab.variants.FrontSpec;
+import junctionhead.lab.world.WorldPlan;
+import junctionhead.limits.ConcurrencyLimit;
+import junctionhead.toml.Section.Measure;
+import junctionhead.toml.Section;
+
+/** Reads the front of an experiment, and how each variant uses it. */
+final class FrontReader {
+    private static final Set<String> PARTS = Set.of("quotas", "retries", "limits", "spill", "steps");
+    private static final double CEILING = 3;
+
+    private FrontReader() { }
+
+    static FrontSpec read(Section f, WorldPlan plan) {
+        List<String> pools = plan.kinds().stream().map(WorldPlan.Kind::pool).distinct().toList();
+        List<String> classes = plan.classes().stream().map(WorldPlan.RequestKind::name).toList();
+        List<FrontSpec.Pool> own = new ArrayList<>();
+        for (Section p : f.tables("pool")) {
+            String name = p.text("name", null);
+            if (!pools.contains(name)) {
+                p.fault("name", "no [[kind]] is of pool '" + name + "'" + Section.meant(name, pools));
+            }
+            ConcurrencyLimit.Kind limit = p.has("limit") ? p.word("limit", ConcurrencyLimit.Kind.class, null) : null;
+            own.add(new FrontSpec.Pool(name, limit, p.number("start", Measure.NUMBER, 8),
+                p.number("least", Measure.NUMBER, 1), p.number("most", Measure.NUMBER, 100),
+                (int) p.number("full_strength", Measure.NUMBER, 0)));
+            p.done();
+        }
+        Set<String> named = new HashSet<>();
+        own.forEach(p -> named.add(p.name()));
+        for (String p : pools) {
+            if (!named.contains(p)) {
+                f.fault("pool", "no [[front.pool]] for pool '" + p + "', which a [[kind]] names");
+            }
+        }
+        List<FrontSpec.Way> routes = new ArrayList<>();
+        for (Section r : f.tables("route")) {
+            routes.add(route(r, pools, classes));
+        }
+        if (routes.isEmpty()) {
+            f.fault("route", "no [[front.route]]: one at least is wanted");
+        }
+        FrontSpec spec = new FrontSpec(List.copyOf(own), List.copyOf(routes),
+            f.number("tenant_rate", Measure.NUMBER, 0), f.number("tenant_ceiling", Measure.NUMBER, CEILING),
+            f.number("site_rate", Measure.NUMBER, 1), f.number("reserve", Measure.SHARE, 0));
+        f.done();
+        return spec;
+    }
+
+    private static FrontSpec.Way route(Section r, List<String> pools, List<String> classes) {
+        String name = r.text("name", null);
+        List<String> to = r.texts("to", List.of());
+        List<String> spill = r.texts("spill", List.of());
+        List<String> all = new ArrayList<>(to);
+        all.addAll(spill);
+        for (String p : all) {
+            if (!pools.contains(p)) {
+                r.fault("to", "no pool '" + p + "'" + Section.meant(p, pools));
+            }
+        }
+        if (to.isEmpty()) {
+            r.fault("to", "route '" + name + "' leads to no pool");
+        }
+        List<String> only = r.texts("classes", List.of());
+        for (String c : only) {
+            if (!classes.contains(c)) {
+                r.fault("classes", "no class '" + c + "'" + Section.meant(c, classes));
+            }
+        }
+        List<Double> weights = new ArrayList<>();
+        for (String w : r.texts("weights", to.stream().map(p -> "1").toList())) {
+            weights.add(weight(r, w));
+        }
+        if (weights.size() != to.size()) {
+            r.fault("weights", weights.size() + " weights for " + to.size() + " pools");
+        }
+        FrontSpec.Way way = new FrontSpec.Way(name, Set.copyOf(only), to, weights, spill,
+            r.number("spill_most", Measure.SHARE, 1), Math.max(1, r.number("spare", Measure.NUMBER, 1.2)),
+            Math.max(1e-6, r.number("return_per_s", Measure.NUMBER, 0.05)), r.number("retry_share", Measure.SIGNED, -1),
+            r.flag("count_clients", true), (int) r.number("steps", Measure.NUMBER, 0), r.time("steps_from", 0),
+            Math.max(1, r.time("steps_length", 1_000_000)));
+        r.done();
+        return way;
+    }
+
+    private static double weight(Section r, String text) {
+        try {
+            double w = Double.parseDouble(text);
+            if (w >= 0 && !Double.isInfinite(w)) {
+                return w;
+            }
+        } catch (NumberFormatException e) {
+            r.fault("weights", "'" + text + "' is no weight: a number of 0 or more is wanted");
+            return 0;
+        }
+        r.fault("weights", "'" + text + "' is no weight: a number of 0 or more is wanted");
+        return 0;
+    }
+
+    /** How a variant uses the experiment's front; null where it doesn't. */
+    static FrontSpec.Use use(Section variant, FrontSpec front) {
+        if (!variant.flag("front", false)) {
+            return null;
+        }
+        if (front == null) {
+            variant.fault("front", "the experiment has no [front] to use");
+            return null;
+        }
+        List<String> without = variant.texts("without", List.of());
+        for (String w : without) {
+            if (!PARTS.contains(w)) {
+                variant.fault("without", "no part '" + w + "'; there are " + String.join(", ",
+                    PARTS.stream().sorted().toList()) + Section.meant(w, PARTS));
+            }
+        }
+        ConcurrencyLimit.Kind limit = variant.has("limit")
+            ? variant.word("limit", ConcurrencyLimit.Kind.class, null) : null;
+        return new FrontSpec.Use(front, limit, Set.copyOf(without),
+            Math.max(1e-6, variant.number("told_times", Measure.NUMBER, 1)),
+            (int) variant.number("told_more", Measure.SIGNED, 0));
+    }
+}
--- a/lab/src/main/java/junctionhead/lab/experiment/Runner.java
+++ b/lab/src/main/java/junctionhead/lab/experiment/Runner.java
@@ -40,7 +40,8 @@
                 long seed = experiment.firstSeed() + i;
                 for (Variant v : experiment.variants()) {
                     playing.get(v.name()).add(pool.submit(() -> {
-                        Day day = Day.play(experiment.plan(), seed, Variants.maker(v));
+                        Day day = Day.play(v.calm() ? experiment.plan().with(List.of())
+                            : experiment.plan(), seed, Variants.maker(v, experiment.plan()));
                         progress.played(done.incrementAndGet(), all);
                         return day;
                     }));
--- a/lab/src/main/java/junctionhead/lab/hunt/ExperimentWriter.java
+++ b/lab/src/main/java/junctionhead/lab/hunt/ExperimentWriter.java
@@ -133,6 +133,7 @@
         text("warm_by", k.warmBy().name().toLowerCase(Locale.ROOT));
         number("errors", k.errors());
         number("cancel_drops", Range.of(k.cancelDrops()));
+        text("pool", k.pool());
     }
 
     private void requests(WorldPlan.RequestKind k) {
@@ -158,6 +159,9 @@
         number("part", t.part());
         number("size", t.size());
         number("extra", t.extra());
+        if (t.of() != null) {
+            text("of", t.of());
+        }
     }
 
     private void head(String name) {
--- a/lab/src/main/java/junctionhead/lab/hunt/Hunt.java
+++ b/lab/src/main/java/junctionhead/lab/hunt/Hunt.java
@@ -207,7 +207,7 @@
             if (t.length().most() >= 2 * SECOND) {
                 List<Trouble> shorter = new ArrayList<>(plan.troubles());
                 shorter.set(i, new Trouble(t.kind(), t.at(), Range.of(Math.rint(t.length().most() / 2)), t.part(),
-                    t.size(), t.extra()));
+                    t.size(), t.extra(), t.of()));
                 all.add(plan.with(shorter));
             }
         }
--- a/lab/src/main/java/junctionhead/lab/judge/Judge.java
+++ b/lab/src/main/java/junctionhead/lab/judge/Judge.java
@@ -77,7 +77,7 @@
     @Override
     public void sending(Attempt a, long now) {
         Taken t = a.taken();
-        score.sent(a.target(), t.attempts().size(), now);
+        score.sent(a.target(), t.attempts().size(), t.client().key(), plan.kinds().get(a.kind()).pool(), now);
         if (t.answered()) {
             breach(Rule.MALFORMED, now, t.id(), "sent after its final answer", t);
         }
--- a/lab/src/main/java/junctionhead/lab/judge/Score.java
+++ b/lab/src/main/java/junctionhead/lab/judge/Score.java
@@ -46,6 +46,9 @@
     private long further;
     private long fallen;
     private long lists;
+    private long flaps;
+    private final Map<Integer, List<String>> pools = new java.util.HashMap<>();     // that each key has been at
+    private final double[] done;                            // work of what was served, by the second of its end
     private final List<int[]> held = new ArrayList<>();
     private final Map<String, Long> sentTo = new java.util.TreeMap<>();
 
@@ -62,6 +65,7 @@
         seconds = (int) ((plan.length() + SECOND - 1) / SECOND);
         asked = new double[seconds];
         got = new double[seconds];
+        done = new double[seconds];
         arrivals = new long[seconds];
         refusals = new long[seconds];
         attempts = new long[seconds];
@@ -75,7 +79,7 @@
 
     /** Names of the figures that a day in such a world comes to. */
     public static List<String> names(WorldPlan plan) {
-        return new ArrayList<>(new Score(plan).figures(new World.Costs(0, 0, 0, 0, 0, 0, 0, 0, 0, 0), 0,
+        return new ArrayList<>(new Score(plan).figures(new World.Costs(0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 1), 0,
             List.of()).keySet());
     }
 
@@ -107,6 +111,9 @@
             return;
         }
         served++;
+        if (now <= r.deadline() && now - World.began() < seconds * SECOND) {
+            done[second(now)] += r.work();
+        }
         latencies[r.kind()].recordValue(Math.max(1, Math.min(LONGEST, latency)));
         double gained = latency <= kind.aim() ? worth : latency <= kind.deadline() ? worth * kind.lateWorth() : 0;
         got[second(r.firstAt())] += gained;
@@ -120,8 +127,18 @@
         taken++;
     }
 
-    void sent(String upstream, int earlier, long now) {
+    void sent(String upstream, int earlier, int key, String pool, long now) {
         sends++;
+        if (key >= 0) {
+            List<String> been = pools.computeIfAbsent(key, k -> new ArrayList<>(2));
+            if (!been.contains(pool)) {
+                been.add(pool);
+            } else if (!been.get(been.size() - 1).equals(pool)) {
+                been.remove(pool);
+                been.add(pool);
+                flaps++;
+            }
+        }
         sentTo.merge(upstream, 1L, Long::sum);
         further += earlier > 0 ? 1 : 0;
         attempts[second(now)]++;
@@ -213,6 +230,13 @@
             f.put("p50_ms." + name, latencies[i].getValueAtPercentile(50) / 1000.0);
             f.put("p99_ms." + name, latencies[i].getValueAtPercentile(99) / 1000.0);
         }
+        for (int i = 0; i < tenants.length; i++) {
+            f.put("tenant." + plan.tenants().get(i).name(), ratio(tenants[i][1], tenants[i][0]));
+        }
+        f.put("goodput", goodput(spells, costs.capacity()));
+        f.put("least_goodput", leastGoodput(spells, costs.capacity()));
+        f.put("served_per_s", served / (double) Math.max(1, seconds));
+        f.put("flaps", (double) flaps);
         f.put("recovery_s", recovery(spells));
         f.put("wasted", ratio0(costs.wastedWork(), costs.offeredWork()));
         f.put("handshakes", costs.handshakes() / first);
@@ -229,6 +253,27 @@
         return f;
     }
 
+    // While troubles last, or over the whole day where there are none: work served in time, of what the fleet can do.
+    private double goodput(List<Timeline.Spell> spells, double capacity) {
+        int[] span = span(spells);
+        return sum(done, span[0], span[1]) / (Math.max(1, span[1] - span[0]) * capacity * SECOND);
+    }
+
+    private double leastGoodput(List<Timeline.Spell> spells, double capacity) {
+        int[] span = span(spells);
+        double least = Double.MAX_VALUE;
+        for (int i = span[0]; i + 5 <= span[1]; i++) {
+            least = Math.min(least, sum(done, i, i + 5) / (5 * capacity * SECOND));
+        }
+        return least == Double.MAX_VALUE ? goodput(spells, capacity) : least;
+    }
+
+    private int[] span(List<Timeline.Spell> spells) {
+        long first = spells.stream().mapToLong(Timeline.Spell::from).min().orElse(0);
+        long last = spells.stream().mapToLong(Timeline.Spell::to).max().orElse(seconds * SECOND);
+        return new int[] {(int) Math.min(seconds, first / SECOND), (int) Math.min(seconds, last / SECOND)};
+    }
+
     private double worstWindow() {
         double worst = 1;
         for (int i = 0; i + Math.min(WINDOW, seconds) <= seconds; i++) {
--- /dev/null
+++ b/lab/src/main/java/junctionhead/lab/variants/FrontSpec.java
@@ -0,0 +1,121 @@
+package junctionhead.lab.variants;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import junctionhead.front.FrontPlan;
+import junctionhead.limits.ConcurrencyLimit;
+import junctionhead.limits.TokenTree.Rate;
+import junctionhead.policy.Policy;
+import junctionhead.routes.PathTemplate;
+import junctionhead.routes.Route;
+
+/**
+ * A front before the pools of a world, in figures that go with the world's size. Rates are multiples of the tenants'
+ * allowances, limits are per upstream.
+ *
+ * @param tenantRate a tenant's own rate, as a multiple of its allowance; 0: no rates
+ * @param tenantCeiling what it may borrow up to, as a multiple of the same
+ * @param siteRate of all together, as a multiple of all allowances
+ * @param reserve as {@link FrontPlan} has it
+ */
+public record FrontSpec(List<Pool> pools, List<Way> routes, double tenantRate, double tenantCeiling, double siteRate,
+        double reserve) {
+
+    /** A pool: its limit's kind (null: none) and, for each upstream, where the limit begins, its floor and its cap. */
+    public record Pool(String name, ConcurrencyLimit.Kind limit, double start, double least, double most,
+            int fullStrength) { }
+
+    /**
+     * A route by classes (none: all).
+     *
+     * @param steps in how many steps all weight moves from the first to the last of {@code to}; 0: never
+     * @param stepsFrom when, in µs of the day, and for how long
+     * @param retryShare of first tries; negative: no budget
+     */
+    public record Way(String name, Set<String> classes, List<String> to, List<Double> weights, List<String> spill,
+            double spillMost, double spare, double returnPerSecond, double retryShare, boolean countClients, int steps,
+            long stepsFrom, long stepsLength) { }
+
+    /**
+     * How a variant uses it.
+     *
+     * @param limit replaces the kinds of all limits; null: as they are
+     * @param without parts left out: quotas, retries, limits, spill, steps
+     * @param toldTimes what a balancer believes of the number of instances: this times the truth, and
+     *     {@code toldMore} more
+     */
+    public record Use(FrontSpec spec, ConcurrencyLimit.Kind limit, Set<String> without, double toldTimes,
+            int toldMore) { }
+
+    private static final long RETRY_WINDOW = 10_000_000;
+    private static final long ADVICE_LEAST = 50_000;
+
+    /** The plan for a balancer with those settings, where each pool has so many upstreams, at that time of the day. */
+    FrontPlan plan(Use use, Policy.Settings settings, List<String> classes, List<String> tenants,
+            Map<String, Integer> upstreams, long time) {
+        int told = Math.max(1, (int) Math.round(settings.balancers() * use.toldTimes) + use.toldMore);
+        List<FrontPlan.PoolPlan> all = new ArrayList<>();
+        for (Pool p : pools) {
+            double each = Math.max(1, upstreams.getOrDefault(p.name, 1)) / (double) settings.balancers();
+            ConcurrencyLimit.Kind kind = use.limit != null ? use.limit : p.limit;
+            int least = Math.max(1, (int) Math.round(p.least * each));
+            int start = Math.max(least, (int) Math.round(p.start * each));
+            ConcurrencyLimit.Plan limit = kind == null || use.without.contains("limits") ? null
+                : new ConcurrencyLimit.Plan(kind, start, least, Math.max(start, (int) Math.round(p.most * each)));
+            all.add(new FrontPlan.PoolPlan(p.name, limit, p.fullStrength));
+        }
+        List<FrontPlan.RoutePlan> ways = new ArrayList<>();
+        for (int i = 0; i < routes.size(); i++) {
+            ways.add(route(routes.get(i), use, i, time));
+        }
+        FrontPlan.Quotas quotas = FrontPlan.Quotas.none();
+        if (tenantRate > 0 && !use.without.contains("quotas")) {
+            Map<String, FrontPlan.TenantQuota> own = new LinkedHashMap<>();
+            double sum = 0;
+            for (int i = 0; i < tenants.size(); i++) {
+                double allowance = settings.tenants().get(i).allowancePerSecond();
+                sum += allowance;
+                own.put(tenants.get(i), new FrontPlan.TenantQuota(rate(allowance * tenantRate,
+                    allowance * tenantCeiling), Map.of()));
+            }
+            quotas = new FrontPlan.Quotas(rate(sum * siteRate, sum * siteRate), own, null);
+        }
+        return new FrontPlan(all, ways, null, quotas, told, reserve,
+            new FrontPlan.Advice(ADVICE_LEAST, settings.limits().retryAfterMax()));
+    }
+
+    // A second's worth may come at once: shares are counted over a second as well.
+    private static Rate rate(double perSecond, double ceiling) {
+        return new Rate(perSecond, Math.max(1, perSecond), Math.max(perSecond, ceiling));
+    }
+
+    private FrontPlan.RoutePlan route(Way w, Use use, int place, long time) {
+        double moved = w.steps == 0 || time < w.stepsFrom || use.without.contains("steps") ? 0
+            : Math.min(1, Math.floor((time - w.stepsFrom) * (double) w.steps / w.stepsLength + 1) / w.steps);
+        List<FrontPlan.Spill> spills = use.without.contains("spill") ? List.of()
+            : w.spill.stream().map(s -> new FrontPlan.Spill(s, w.spillMost)).toList();
+        List<FrontPlan.Way> ways = new ArrayList<>();
+        for (int i = 0; i < w.to.size(); i++) {
+            double weight = w.steps == 0 ? w.weights.get(i) : i == 0 ? 1 - moved : i == w.to.size() - 1 ? moved : 0;
+            ways.add(new FrontPlan.Way(w.to.get(i), weight, spills));
+        }
+        FrontPlan.Retries retries = w.retryShare < 0 || use.without.contains("retries") ? null
+            : new FrontPlan.Retries(w.retryShare, 1, RETRY_WINDOW, w.countClients);
+        return new FrontPlan.RoutePlan(new Route(w.name, PathTemplate.of("/**"), Set.of(), Map.of(), Set.of(),
+            w.classes, place), ways, w.spare, w.returnPerSecond, retries, null, 0);
+    }
+
+    /** The steps that have been taken by that time of the day: the plan changes with them. */
+    int step(long time) {
+        int sum = 0;
+        for (Way w : routes) {
+            if (w.steps > 0 && time >= w.stepsFrom) {
+                sum += (int) Math.min(w.steps, Math.floor((time - w.stepsFrom) * (double) w.steps / w.stepsLength + 1));
+            }
+        }
+        return sum;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/junctionhead/lab/variants/FrontedPolicy.java
@@ -0,0 +1,339 @@
+package junctionhead.lab.variants;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import junctionhead.front.Front;
+import junctionhead.front.Front.End;
+import junctionhead.lab.sim.Draws;
+import junctionhead.policy.Policy;
+import junctionhead.routes.Route;
+
+/**
+ * A front before several pools, each with a module of its own, played as one module: what the balancer does on
+ * sockets. The kind of an upstream tells its pool. One module, the first pool's, speaks with discovery; all hear.
+ */
+final class FrontedPolicy implements Policy {
+    /** What the world's numbers stand for. */
+    record Names(List<String> classes, List<String> tenants, List<String> kindPools, List<Double> worths) { }
+
+    private record Wake(long at, String pool) { }
+
+    private static final class Open {
+        final Front.Ticket ticket;
+        int attempts;
+
+        Open(Front.Ticket ticket) {
+            this.ticket = ticket;
+        }
+    }
+
+    private static final String[] ROOT = {""};
+
+    private final FrontSpec.Use use;
+    private final Settings settings;
+    private final Names names;
+    private final Draws draws;
+    private final long begin;
+    private final Map<String, Policy> modules = new LinkedHashMap<>();
+    private final Map<String, Map<String, State>> states = new HashMap<>();
+    private final Map<String, String> poolOf = new HashMap<>();
+    private final Map<String, Open> open = new HashMap<>();
+    private final List<Wake> wakes = new ArrayList<>();
+    private final ArrayDeque<Runnable> later = new ArrayDeque<>();
+    private Front front;
+    private int step;
+    private Actions out;
+    private long time;
+
+    FrontedPolicy(FrontSpec.Use use, Settings settings, Names names, Draws draws, long begin,
+            Function<String, Policy> module) {
+        this.use = use;
+        this.settings = settings;
+        this.names = names;
+        this.draws = draws;
+        this.begin = begin;
+        for (FrontSpec.Pool p : use.spec().pools()) {
+            modules.put(p.name(), module.apply(p.name()));
+            states.put(p.name(), new HashMap<>());
+        }
+    }
+
+    // ---- the pools' modules ask
+
+    private final class ToWorld implements Actions {
+        private final String pool;
+
+        ToWorld(String pool) {
+            this.pool = pool;
+        }
+
+        @Override
+        public void send(String request, String server, long timeout) {
+            Open o = open.get(request);
+            if (o != null && o.attempts > 0 && !front.mayTryAgain(time, o.ticket)) {
+                int denied = o.attempts++;
+                later.add(() -> modules.get(pool).outcome(time, request, denied, Outcome.NOT_SENT, 0, false, null,
+                    this));
+                return;
+            }
+            if (o != null) {
+                o.attempts++;
+            }
+            out.send(request, server, timeout);
+        }
+
+        @Override
+        public void refuse(String request, long retryAfter) {
+            Open o = open.get(request);
+            over(request, o != null && o.attempts > 0 ? End.FAILED : End.UNSENT);
+            out.refuse(request, retryAfter);
+        }
+
+        @Override
+        public void fail(String request) {
+            over(request, End.FAILED);
+            out.fail(request);
+        }
+
+        @Override
+        public void cancel(String request, int attempt) {
+            out.cancel(request, attempt);
+        }
+
+        @Override
+        public void probe(String server) {
+            out.probe(server);
+        }
+
+        @Override
+        public void watch(boolean on) {
+            if (first()) {
+                out.watch(on);
+            }
+        }
+
+        @Override
+        public void fetchList() {
+            if (first()) {
+                out.fetchList();
+            }
+        }
+
+        private boolean first() {
+            return pool.equals(use.spec().pools().get(0).name());
+        }
+
+        @Override
+        public void closeIdle(String server) {
+            out.closeIdle(server);
+        }
+
+        @Override
+        public void tell(int peer, byte[] data) {
+            out.tell(peer, data);
+        }
+
+        @Override
+        public void wakeAfter(long delay) {
+            wakes.add(new Wake(time + Math.max(0, delay), pool));
+            out.wakeAfter(delay);
+        }
+
+        @Override
+        public void remark(String line) {
+            out.remark(pool + ": " + line);
+        }
+    }
+
+    private final Map<String, Actions> actions = new HashMap<>();
+
+    private Actions actions(String pool) {
+        return actions.computeIfAbsent(pool, ToWorld::new);
+    }
+
+    private void over(String request, End end) {
+        Open o = open.get(request);
+        if (o != null) {
+            front.ended(time, o.ticket, end);
+        }
+    }
+
+    private void begin(long now, Actions to) {
+        out = to;
+        time = now;
+    }
+
+    private void settle() {
+        for (Runnable r = later.poll(); r != null; r = later.poll()) {
+            r.run();
+        }
+    }
+
+    // ---- the world tells
+
+    @Override
+    public void servers(long now, ListKind kind, List<Server> list, Actions to) {
+        begin(now, to);
+        Map<String, List<Server>> own = new LinkedHashMap<>();
+        modules.keySet().forEach(p -> own.put(p, new ArrayList<>()));
+        for (Server s : list) {
+            String pool = names.kindPools.get(s.kind());
+            if (own.containsKey(pool)) {
+                own.get(pool).add(s);
+                poolOf.put(s.id(), pool);
+            }
+        }
+        own.forEach((pool, some) -> {
+            Map<String, State> known = states.get(pool);
+            if (kind == ListKind.COMPLETE) {
+                known.clear();
+            }
+            some.forEach(s -> known.put(s.id(), s.state()));
+        });
+        if (front == null) {
+            front = new Front(plan(now));
+        }
+        own.forEach((pool, some) -> {
+            if (kind != ListKind.FAILED) {
+                front.listed(now, pool, (int) states.get(pool).values().stream().filter(s -> s == State.UP).count());
+            }
+            if (kind != ListKind.OWN || !some.isEmpty()) {
+                modules.get(pool).servers(now, kind, some, actions(pool));
+            }
+        });
+        settle();
+    }
+
+    private junctionhead.front.FrontPlan plan(long now) {
+        Map<String, Integer> sizes = new HashMap<>();
+        states.forEach((pool, known) -> sizes.put(pool, known.size()));
+        step = use.spec().step(now - begin);
+        return use.spec().plan(use, settings, names.classes, names.tenants, sizes, now - begin);
+    }
+
+    @Override
+    public void request(long now, String id, int kind, int tenant, String key, long timeLeft, long work,
+            boolean resubmission, Actions to) {
+        begin(now, to);
+        if (use.spec().step(now - begin) != step) {
+            Front next = new Front(plan(now));
+            next.resume(front);
+            front = next;
+        }
+        List<Double> worths = names.worths;
+        double least = worths.stream().mapToDouble(w -> w).min().orElse(1);
+        double most = worths.stream().mapToDouble(w -> w).max().orElse(1);
+        double rank = most > least ? (worths.get(kind) - least) / (most - least) : 1;
+        Front.Verdict v = front.arrive(now, new Front.Arrival(new Route.Request("GET", ROOT, Map.of(),
+            names.tenants.isEmpty() ? null : names.tenants.get(tenant), names.classes.get(kind)), key, rank,
+            resubmission, draws.uniform()));
+        if (v.ticket() == null) {
+            to.refuse(id, v.retryAfter());
+            return;
+        }
+        open.put(id, new Open(v.ticket()));
+        String pool = v.ticket().pool();
+        modules.get(pool).request(now, id, kind, tenant, key, timeLeft, work, resubmission, actions(pool));
+        settle();
+    }
+
+    @Override
+    public void outcome(long now, String id, int attempt, Outcome outcome, long latency, boolean closed, Load load,
+            Actions to) {
+        begin(now, to);
+        Open o = open.get(id);
+        if (o == null) {
+            return;
+        }
+        String pool = o.ticket.pool();
+        if (outcome == Outcome.OK) {
+            over(id, End.SERVED);
+        }
+        modules.get(pool).outcome(now, id, attempt, outcome, latency, closed, load, actions(pool));
+        settle();
+    }
+
+    @Override
+    public void streamStarted(long now, String id, int attempt, Actions to) {
+        begin(now, to);
+        Open o = open.get(id);
+        if (o != null) {
+            modules.get(o.ticket.pool()).streamStarted(now, id, attempt, actions(o.ticket.pool()));
+        }
+        settle();
+    }
+
+    @Override
+    public void clientGone(long now, String id, Actions to) {
+        begin(now, to);
+        Open o = open.get(id);
+        if (o != null) {
+            over(id, End.GONE);
+            modules.get(o.ticket.pool()).clientGone(now, id, actions(o.ticket.pool()));
+        }
+        settle();
+    }
+
+    @Override
+    public void probed(long now, String server, Outcome outcome, long latency, Load load, Actions to) {
+        begin(now, to);
+        String pool = poolOf.get(server);
+        if (pool != null) {
+            modules.get(pool).probed(now, server, outcome, latency, load, actions(pool));
+        }
+        settle();
+    }
+
+    @Override
+    public void wake(long now, Actions to) {
+        begin(now, to);
+        List<String> due = new ArrayList<>();
+        for (Iterator<Wake> i = wakes.iterator(); i.hasNext();) {
+            Wake w = i.next();
+            if (w.at <= now) {
+                due.add(w.pool);
+                i.remove();
+            }
+        }
+        for (String pool : due) {
+            modules.get(pool).wake(now, actions(pool));
+        }
+        settle();
+    }
+
+    @Override
+    public void reconfigure(long now, Settings next, int[] classes, int[] tenants) {
+        modules.values().forEach(m -> m.reconfigure(now, next, classes, tenants));
+    }
+
+    @Override
+    public Map<String, double[]> learnt(long now) {
+        Map<String, double[]> all = new HashMap<>();
+        modules.forEach((pool, m) -> m.learnt(now).forEach((k, v) -> all.put(pool + "\n" + k, v)));
+        return all;
+    }
+
+    @Override
+    public void resume(long now, Map<String, double[]> learnt) {
+        modules.forEach((pool, m) -> {
+            Map<String, double[]> own = new HashMap<>();
+            learnt.forEach((k, v) -> {
+                if (k.startsWith(pool + "\n")) {
+                    own.put(k.substring(pool.length() + 1), v);
+                }
+            });
+            m.resume(now, own);
+        });
+    }
+
+    @Override
+    public void share(double part) {
+        modules.values().forEach(m -> m.share(part));
+    }
+}
--- a/lab/src/main/java/junctionhead/lab/variants/Variants.java
+++ b/lab/src/main/java/junctionhead/lab/variants/Variants.java
@@ -9,6 +9,8 @@
 import junctionhead.lab.sim.Streams;
 import junctionhead.lab.world.PolicyMaker;
 import junctionhead.lab.world.Truth;
+import junctionhead.lab.world.World;
+import junctionhead.lab.world.WorldPlan;
 import junctionhead.policy.Balance;
 
 /** The policies that worlds can be played under, by name. */
@@ -19,8 +21,18 @@
     public static final String SEER = "seer";
     private static final String LEAST_IN_FLIGHT = "least-in-flight";
 
-    /** A variant of an experiment: its name, the policy, and the figures of a sampling one. */
-    public record Variant(String name, String policy, Choosers.Figures figures) { }
+    /**
+     * A variant of an experiment: its name, the policy, and the figures of a sampling one.
+     *
+     * @param front what stands before the pools, and how this variant uses it; null: nothing, and all is one pool
+     * @param calm it is played without the troubles: what they cost is the difference to it
+     */
+    public record Variant(String name, String policy, Choosers.Figures figures, FrontSpec.Use front, boolean calm) {
+        /** A variant without a front, under all troubles. */
+        public Variant(String name, String policy, Choosers.Figures figures) {
+            this(name, policy, figures, null, false);
+        }
+    }
 
     private Variants() { }
 
@@ -54,6 +66,24 @@
         };
     }
 
+    /** The same for worlds of that plan, with the variant's front where it has one. */
+    public static PolicyMaker maker(Variant v, WorldPlan plan) {
+        PolicyMaker inner = maker(v);
+        if (v.front == null) {
+            return inner;
+        }
+        FrontedPolicy.Names names = new FrontedPolicy.Names(
+            plan.classes().stream().map(WorldPlan.RequestKind::name).toList(),
+            plan.tenants().stream().map(WorldPlan.Tenant::name).toList(),
+            plan.kinds().stream().map(WorldPlan.Kind::pool).toList(),
+            plan.classes().stream().map(WorldPlan.RequestKind::worth).toList());
+        return (settings, seed, truth) -> {
+            Streams streams = new Streams(seed);
+            return new FrontedPolicy(v.front, settings, names, streams.of("front", 0, "advice"), World.began(),
+                pool -> inner.make(settings, streams.seed("pool " + pool, 0), truth));
+        };
+    }
+
     /** Sends to where the answer would come first, given the true state. */
     private static final class Seer implements Chooser {
         private final Truth truth;
--- a/lab/src/main/java/junctionhead/lab/world/Attempt.java
+++ b/lab/src/main/java/junctionhead/lab/world/Attempt.java
@@ -34,6 +34,11 @@
         return number;
     }
 
+    /** The kind of the upstream that it went to, by number. */
+    public int kind() {
+        return upstream.kindNumber;
+    }
+
     /** When it was sent, in µs. */
     public long sentAt() {
         return sentAt;
--- a/lab/src/main/java/junctionhead/lab/world/ClientRequest.java
+++ b/lab/src/main/java/junctionhead/lab/world/ClientRequest.java
@@ -27,6 +27,21 @@
         this.overShare = overShare;
     }
 
+    /** What it concerns, by number; -1 where nothing. */
+    public int key() {
+        return key;
+    }
+
+    /** Its work, in µs of a standard core. */
+    public double work() {
+        return work;
+    }
+
+    /** By when it is worth anything, in µs. */
+    public long deadline() {
+        return deadline;
+    }
+
     /** Its class, by number. */
     public int kind() {
         return kind;
--- a/lab/src/main/java/junctionhead/lab/world/Clients.java
+++ b/lab/src/main/java/junctionhead/lab/world/Clients.java
@@ -171,20 +171,46 @@
         };
     }
 
+    /** The tenant of that number sends so many times as much until then, by draws that leave all others' alone. */
+    void flood(int tenant, double times, long until) {
+        if (tenant < 0 || tenant >= allowances.length) {
+            return;
+        }
+        double share = tenantShares[tenant] - (tenant == 0 ? 0 : tenantShares[tenant - 1]);
+        double more = rate * share * Math.max(0, times - 1);
+        if (more > 0) {
+            flooding(tenant, more, until, world.streams.of("clients", 1 + tenant, "flood"));
+        }
+    }
+
+    private void flooding(int tenant, double more, long until, Draws own) {
+        long at = world.simulation.now() + Math.max(1, Math.round(own.exponential(1 / more)));
+        if (at < until && at - world.begin < length) {
+            world.simulation.at(at, now -> {
+                arrive(now, tenant, own, own, own, own);
+                flooding(tenant, more, until, own);
+            });
+        }
+    }
+
     private void arrive(long now) {
-        int kind = drawn(kindShares, kinds.uniform());
-        int tenant = drawn(tenantShares, tenantDraws.uniform());
-        int zone = drawn(zoneShares, zones.uniform());
-        double heat = keys.uniform();
-        double which = keys.uniform();
+        arrive(now, -1, kinds, zones, keys, works);
+    }
+
+    private void arrive(long now, int whose, Draws ofKind, Draws ofZone, Draws ofKey, Draws ofWork) {
+        int kind = drawn(kindShares, ofKind.uniform());
+        int tenant = whose >= 0 ? whose : drawn(tenantShares, tenantDraws.uniform());
+        int zone = drawn(zoneShares, ofZone.uniform());
+        double heat = ofKey.uniform();
+        double which = ofKey.uniform();
         int key = keyShares.length == 0 ? -1 : heat < hotShare
             ? keyShares.length - 1 - (int) (which * Math.min(hotKeys, keyShares.length))
             : drawn(keyShares, which);
         WorldPlan.RequestKind k = plan.classes().get(kind);
         double work = switch (k.spread()) {
-            case EXPONENTIAL -> works.exponential(workMeans[kind]);
-            case LOGNORMAL -> works.lognormal(workMeans[kind], variations[kind]);
-            case PARETO -> works.pareto(workMeans[kind], variations[kind]);
+            case EXPONENTIAL -> ofWork.exponential(workMeans[kind]);
+            case LOGNORMAL -> ofWork.lognormal(workMeans[kind], variations[kind]);
+            case PARETO -> ofWork.pareto(workMeans[kind], variations[kind]);
             case FIXED -> workMeans[kind];
         };
         ClientRequest r = new ClientRequest(number++, kind, tenant, zone, key, work, now, now + k.deadline(),
--- a/lab/src/main/java/junctionhead/lab/world/Register.java
+++ b/lab/src/main/java/junctionhead/lab/world/Register.java
@@ -13,6 +13,7 @@
  * Discovery: knows late and only of processes that run, drain or are gone, and handles one call after another.
  */
 final class Register {
+    private static final long AGAIN = 500_000;              // µs after a break, where lists are pushed
     private static final int HISTORY = 256;                 // versions behind which a watch gets the whole list
 
     /** A balancer's standing with the register. */
@@ -144,6 +145,24 @@
         });
     }
 
+    /** Where lists are pushed, a balancer is subscribed from its start, and again after each break. */
+    void booted(Subscriber s) {
+        if (!world.plan.discovery().ask()) {
+            call(s, true);
+        }
+    }
+
+    private void again(Subscriber s) {
+        if (!world.plan.discovery().ask()) {
+            int generation = s.generation;
+            world.simulation.after(AGAIN, at -> {
+                if (s.generation == generation && s.balancer.alive()) {
+                    call(s, true);
+                }
+            });
+        }
+    }
+
     /** A call: it waits its turn, and fails when it has waited too long or the register is down. */
     void call(Subscriber s, boolean watch) {
         long now = world.simulation.now();
@@ -184,6 +203,7 @@
         if (s.generation == generation) {
             s.failed = true;
             s.balancer.news(ListKind.FAILED, List.of(), now);
+            again(s);
         }
     }
 
@@ -212,6 +232,7 @@
                     s.end();
                     s.failed = true;
                     s.balancer.news(ListKind.FAILED, List.of(), at);
+                    again(s);
                 }
             }
             watchers.clear();
--- a/lab/src/main/java/junctionhead/lab/world/Timeline.java
+++ b/lab/src/main/java/junctionhead/lab/world/Timeline.java
@@ -35,6 +35,7 @@
         Map.entry("balancers_upgraded", "part of the balancers replaced one by one, two processes at a time"),
         Map.entry("retry_storm", "clients try size times more, without waits"),
         Map.entry("burst", "size times as many arrivals"),
+        Map.entry("tenant_flood", "the tenant of number extra, from 0, sends size times as much"),
         Map.entry("clock_step", "part of the upstreams state start times extra s off"),
         Map.entry("taken_out", "operators take part of the upstreams out, restart them and put them back"),
         Map.entry("network_slow", "all messages take size times as long"),
@@ -45,6 +46,7 @@
 
     private final World world;
     private final List<Spell> spells = new ArrayList<>();
+    private String of;                                      // the pool that the trouble being installed concerns
 
     Timeline(World world) {
         this.world = world;
@@ -64,6 +66,7 @@
                 world.clients.burstMost(size);
             }
             spells.add(new Spell(t.kind(), from - World.BEGIN, from + length - World.BEGIN));
+            of = t.of();
             install(t.kind(), from, length, part, size, extra, draws);
         }
         world.spells(spells);
@@ -125,6 +128,8 @@
             case "retry_storm" -> during(from, length, now -> world.clients.storm((int) Math.round(size)),
                 now -> world.clients.storm(0));
             case "burst" -> during(from, length, now -> world.clients.burst(size), now -> world.clients.burst(1));
+            case "tenant_flood" -> world.simulation.at(from, now -> world.clients.flood((int) Math.round(extra), size,
+                now + length));
             case "clock_step" -> world.simulation.at(from, now -> {
                 for (Upstream u : picked(part, draws)) {
                     if (u.saidStart() > 0) {
@@ -165,17 +170,23 @@
 
     private void some(double part, long from, long length, Draws draws, Change begin, Change end) {
         List<Upstream> chosen = new ArrayList<>();
+        String pool = of;
         during(from, length, now -> {
-            chosen.addAll(picked(part, draws));
+            chosen.addAll(picked(part, pool, draws));
             chosen.forEach(u -> begin.to(u, now));
         }, now -> chosen.forEach(u -> end.to(u, now)));
     }
 
     // The draw goes by a number for each upstream, not by the order of a list: what else has happened leaves it be.
     private List<Upstream> picked(double part, Draws draws) {
+        return picked(part, null, draws);
+    }
+
+    private List<Upstream> picked(double part, String pool, Draws draws) {
         List<Upstream> running = new ArrayList<>();
         for (Upstream u : world.upstreams) {
-            if (u.alive() && !u.draining()) {
+            boolean meant = pool == null || world.plan.kinds().get(u.kindNumber).pool().equals(pool);
+            if (meant && u.alive() && !u.draining()) {
                 running.add(u);
             }
         }
--- a/lab/src/main/java/junctionhead/lab/world/World.java
+++ b/lab/src/main/java/junctionhead/lab/world/World.java
@@ -59,9 +59,10 @@
     private List<Timeline.Spell> spells = List.of();
     private Runnable everySecond = () -> { };
 
-    /** What the day cost beside what the observer saw. */
+    /** What the day cost beside what the observer saw; {@code capacity}: what the fleet does, µs of work per µs. */
     public record Costs(double offeredWork, double wastedWork, long handshakes, long crossings, long probes,
-            long registerCalls, long events, double firstTriesPerSecond, int upstreams, int balancers) { }
+            long registerCalls, long events, double firstTriesPerSecond, int upstreams, int balancers,
+            double capacity) { }
 
     /** Draws a world; {@code observer} hears of all that happens in it. */
     public World(WorldPlan plan, long seed, PolicyMaker maker, Observer observer) {
@@ -233,7 +234,7 @@
             }
         }
         return new Costs(offered, wasted, handshakes, crossings, probes, register.calls(), simulation.fired(),
-            clients.perSecond(), upstreams.size(), slots.size());
+            clients.perSecond(), upstreams.size(), slots.size(), nominal);
     }
 
     // ---- balancers
@@ -249,6 +250,7 @@
         processes.add(b);
         slot.serving(b);
         b.begin(register.list(), now);
+        register.booted(b.subscriber);
         if (learnt != null) {
             policy.resume(now, learnt);
         }
--- a/lab/src/main/java/junctionhead/lab/world/WorldPlan.java
+++ b/lab/src/main/java/junctionhead/lab/world/WorldPlan.java
@@ -59,10 +59,24 @@
             Range handshakeWork, long idle, long connectTimeout, Range connectionsPerCore, Range fullTax,
             Range keyGain, Range keyMemory, Range keysPerCore) { }
 
-    /** A kind of upstream; {@code cancelDrops}: the chance that a world's upstreams drop cancelled waiting work. */
+    /**
+     * A kind of upstream; {@code cancelDrops}: the chance that a world's upstreams drop cancelled waiting work;
+     * {@code pool}: the pool that upstreams of this kind belong to, for variants with a front.
+     */
     public record Kind(String name, Range share, int cores, Range speed, Range speedVariation, Range slotsPerCore,
             Range roomPerCore, double crowding, Range crowdedAt, Range coldFrom, Range coldTime, WarmBy warmBy,
-            Range errors, double cancelDrops) { }
+            Range errors, double cancelDrops, String pool) {
+        /** The only pool, where there is one. */
+        public static final String SITE = "site";
+
+        /** A kind of the only pool. */
+        public Kind(String name, Range share, int cores, Range speed, Range speedVariation, Range slotsPerCore,
+                Range roomPerCore, double crowding, Range crowdedAt, Range coldFrom, Range coldTime, WarmBy warmBy,
+                Range errors, double cancelDrops) {
+            this(name, share, cores, speed, speedVariation, slotsPerCore, roomPerCore, crowding, crowdedAt, coldFrom,
+                coldTime, warmBy, errors, cancelDrops, SITE);
+        }
+    }
 
     /** A class of requests; {@code work} in µs of a standard core. */
     public record RequestKind(String name, Range share, Range work, Spread spread, Range variation,
@@ -73,9 +87,15 @@
 
     /**
      * Something that goes wrong. {@code at} and {@code length} in µs; what {@code part}, {@code size} and
-     * {@code extra} mean goes with the kind, see docs/laboratory.md.
+     * {@code extra} mean goes with the kind, see docs/laboratory.md; {@code of} names the pool whose upstreams it
+     * concerns, null: any.
      */
-    public record Trouble(String kind, Range at, Range length, Range part, Range size, Range extra) { }
+    public record Trouble(String kind, Range at, Range length, Range part, Range size, Range extra, String of) {
+        /** One that may concern any upstream. */
+        public Trouble(String kind, Range at, Range length, Range part, Range size, Range extra) {
+            this(kind, at, length, part, size, extra, null);
+        }
+    }
 
     /** The same world with other troubles. */
     public WorldPlan with(List<Trouble> others) {
--- a/lab/src/test/java/junctionhead/lab/experiment/ExperimentReaderTest.java
+++ b/lab/src/test/java/junctionhead/lab/experiment/ExperimentReaderTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import junctionhead.toml.Faults;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -103,4 +104,37 @@
         String said = assertThrows(Faults.class, () -> ExperimentReader.read(b)).getMessage();
         assertTrue(said.contains("loops"), said);
     }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "limit = \"fixed\" | limit = \"fixd\" | there are fixed, aimd, vegas, gradient; did you mean 'fixed'?",
+        "to = [\"site\"] | to = [\"sight\"] | no pool 'sight'",
+        "to = [\"site\"] | to = [] | route 'all' leads to no pool",
+        "name = \"site\" | name = \"cite\" | no [[kind]] is of pool 'cite'; did you mean 'site'?",
+        "[\"limits\"] | [\"limit\"] | there are limits, quotas, retries, spill, steps; did you mean 'limits'?",
+        "spill_most = 0.5 | spill_most = 5 | 'spill_most' is 5: a share from 0 to 1 is wanted",
+    })
+    void faultsOfAFrontAreNamed(String from, String to, String fault) throws IOException {
+        String sound = SOUND + """
+
+            [front]
+            [[front.pool]]
+            name = "site"
+            limit = "fixed"
+            [[front.route]]
+            name = "all"
+            to = ["site"]
+            spill_most = 0.5
+            [[variant]]
+            name = "fronted"
+            policy = "balance"
+            front = true
+            without = ["limits"]
+            """;
+        Path file = Files.writeString(folder.resolve("e.toml"), sound);
+        assertEquals("fronted", ExperimentReader.read(file).variants().get(0).name());
+        Files.writeString(file, sound.replace(from, to));
+        Faults faults = assertThrows(Faults.class, () -> ExperimentReader.read(file));
+        assertTrue(faults.lines().stream().anyMatch(l -> l.endsWith(fault)), faults.lines().toString());
+    }
 }
--- a/lab/src/test/java/junctionhead/lab/world/HardCasesTest.java
+++ b/lab/src/test/java/junctionhead/lab/world/HardCasesTest.java
@@ -5,9 +5,13 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import junctionhead.lab.judge.Broken;
 import junctionhead.lab.judge.Day;
+import junctionhead.lab.policies.Choosers;
+import junctionhead.lab.variants.FrontSpec;
 import junctionhead.lab.variants.Variants;
+import junctionhead.limits.ConcurrencyLimit;
 import junctionhead.policy.Balance;
 import junctionhead.policy.Policy;
 import org.junit.jupiter.api.Test;
@@ -47,7 +51,7 @@
         "same_address", "shared_slow",
         "rack_lost", "death", "restart", "zone_cut", "zone_cut_one_way", "register_down", "register_twice",
         "balancers_killed", "balancers_restarted", "balancers_upgraded", "retry_storm", "burst", "clock_step",
-        "taken_out", "network_slow", "loss"})
+        "taken_out", "network_slow", "loss", "tenant_flood"})
     void theModuleKeepsTheRulesThroughEachTrouble(String kind) {
         assertTrue(Timeline.KINDS.containsKey(kind));
         double size = switch (kind) {
@@ -60,7 +64,42 @@
             assertEquals("", rules(day), kind + " " + effect);
             assertTrue(day.figures().get("whole") > 0.3, kind + " " + effect + ": " + day.figures());
         }
-        assertEquals(Timeline.KINDS.size(), 25, "each kind of trouble is named above");
+        assertEquals(Timeline.KINDS.size(), 26, "each kind of trouble is named above");
+    }
+
+    private static final FrontSpec FRONT = new FrontSpec(
+        List.of(new FrontSpec.Pool("site", ConcurrencyLimit.Kind.GRADIENT, 8, 1, 100, 0)),
+        List.of(new FrontSpec.Way("all", Set.of(), List.of("site"), List.of(1.0), List.of(), 1, 1.2, 0.05, 0.1, true,
+            0, 0, 1)), 1, 1.5, 1, 0.1);
+
+    private static Day fronted(WorldPlan plan) {
+        Variants.Variant v = new Variants.Variant("front", "balance", new Choosers.Figures(4, 2, 0.5),
+            new FrontSpec.Use(FRONT, null, Set.of(), 1, 0), false);
+        return Day.play(plan, 4, Variants.maker(v, plan));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"deploy", "death", "balancers_killed", "balancers_upgraded", "retry_storm", "taken_out",
+        "settings_changed", "tenant_flood", "register_down"})
+    void aFrontKeepsTheRulesAsWellAndTheSameSeedTheSameDay(String kind) {
+        WorldPlan plan = Worlds.small(0.7, 9, Policy.Effect.UNSAFE, Worlds.trouble(kind, 3, 4, 0.34, 2, 1.5));
+        Day day = fronted(plan);
+        assertEquals("", rules(day), kind);
+        assertTrue(day.figures().get("whole") > 0.3, kind + ": " + day.figures());
+        assertEquals(day.figures(), fronted(plan).figures());
+    }
+
+    @Test
+    void whereListsArePushedADeathIsHeardOf() {
+        WorldPlan asked = Worlds.small(0.4, 6, Policy.Effect.SAFE, Worlds.trouble("death", 3, 4, 0.34, 0, 0));
+        WorldPlan.Discovery d = asked.discovery();
+        WorldPlan pushed = new WorldPlan(asked.length(), asked.balancers(), asked.upstreams(), asked.zones(),
+            asked.load(), asked.network(), asked.clients(), new WorldPlan.Discovery(false, d.notice(), d.silentNotice(), d.add(),
+                d.period(), d.spread(), d.capacity(), d.callLines(), d.timeout()), asked.rules(), asked.goal(),
+            asked.prices(), asked.fleet(), asked.kinds(), asked.classes(), asked.tenants(), asked.troubles());
+        Day day = own(pushed);
+        assertEquals("", rules(day));
+        assertTrue(day.figures().get("lists") >= 9, "the start, what ended and what came: " + day.figures());
     }
 
     @Test
--- a/lab/src/main/java/junctionhead/lab/experiment/Faults.java
+++ b/toml/src/main/java/junctionhead/toml/Faults.java
@@ -1,4 +1,4 @@
-package junctionhead.lab.experiment;
+package junctionhead.toml;
 
 import java.util.List;
 
--- a/lab/src/main/java/junctionhead/lab/experiment/Section.java
+++ b/toml/src/main/java/junctionhead/toml/Section.java
@@ -1,4 +1,4 @@
-package junctionhead.lab.experiment;
+package junctionhead.toml;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -11,15 +11,14 @@
 import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import junctionhead.lab.world.Range;
 
-/** One table of an experiment: reads its keys strictly, notes every fault, and names keys it doesn't know. */
-final class Section {
+/** One table of a file: reads its keys strictly, notes every fault, and names keys it doesn't know. */
+public final class Section {
     private static final Pattern TIME = Pattern.compile("([0-9]+(?:\\.[0-9]+)?)\\s*(us|ms|s|m|h)");
     private static final int CLOSE = 3;
 
     /** What a figure measures: how it is written, and what is possible. */
-    enum Measure {
+    public enum Measure {
         SHARE("a share from 0 to 1", 0, 1), NUMBER("a number of 0 or more", 0, 1e12),
         SIGNED("a number", -1e12, 1e12), TIME("a time with its unit, such as \"200ms\"", 0, 1e12),
         COUNT("a whole number of 1 or more", 1, 1e9);
@@ -39,11 +38,19 @@
     private final ObjectNode node;
     private final String path;
     private final Set<String> used = new HashSet<>();
+    private final Set<String> known = new HashSet<>();      // asked for, whether there or not
+    private final boolean silent;                           // it stands for what is at fault already
 
-    Section(Source source, ObjectNode node, String path) {
+    /** The table {@code node}, which stands at {@code path} in the file. */
+    public Section(Source source, ObjectNode node, String path) {
+        this(source, node, path, false);
+    }
+
+    private Section(Source source, ObjectNode node, String path, boolean silent) {
         this.source = source;
         this.node = node;
         this.path = path;
+        this.silent = silent;
     }
 
     private String at(String key) {
@@ -52,39 +59,42 @@
 
     private JsonNode take(String key) {
         used.add(key);
+        known.add(key);
         return node.get(key);
     }
 
-    void fault(String key, String what) {
-        source.fault(at(key), what);
+    /** Notes a fault at one of its keys. */
+    public void fault(String key, String what) {
+        if (!silent) {
+            source.fault(key.isEmpty() ? path : at(key), what);
+        }
     }
 
-    boolean has(String key) {
+    /** Whether the key is given. */
+    public boolean has(String key) {
+        known.add(key);
         return node.has(key);
     }
 
-    /** A figure or a range of two; a missing one is a fault. */
-    Range range(String key, Measure measure) {
+    /** A figure, or two for a range: the first and the last; a missing one is a fault. */
+    public double[] pair(String key, Measure measure) {
         JsonNode value = take(key);
         if (value == null) {
             fault(key, "'" + key + "' is missing in [" + path + "]: " + measure.form + " or a pair of them");
-            return Range.of(Math.max(1, measure.least));
-        }
-        if (value.isArray()) {
-            if (value.size() != 2) {
-                fault(key, "'" + key + "' has " + value.size() + " values; one, or two for a range, are wanted");
-                return Range.of(Math.max(1, measure.least));
-            }
-            return new Range(figure(key, value.get(0), measure), figure(key, value.get(1), measure));
+        } else if (!value.isArray()) {
+            double figure = figure(key, value, measure);
+            return new double[] {figure, figure};
+        } else if (value.size() == 2) {
+            return new double[] {figure(key, value.get(0), measure), figure(key, value.get(1), measure)};
+        } else {
+            fault(key, "'" + key + "' has " + value.size() + " values; one, or two for a range, are wanted");
         }
-        return Range.of(figure(key, value, measure));
-    }
-
-    Range range(String key, Measure measure, Range otherwise) {
-        return has(key) ? range(key, measure) : otherwise;
+        double least = Math.max(1, measure.least);
+        return new double[] {least, least};
     }
 
-    double number(String key, Measure measure) {
+    /** A figure; a missing one is a fault. */
+    public double number(String key, Measure measure) {
         JsonNode value = take(key);
         if (value == null) {
             fault(key, "'" + key + "' is missing in [" + path + "]: " + measure.form);
@@ -93,7 +103,8 @@
         return figure(key, value, measure);
     }
 
-    double number(String key, Measure measure, double otherwise) {
+    /** A figure, or {@code otherwise} where it is missing. */
+    public double number(String key, Measure measure, double otherwise) {
         return has(key) ? number(key, measure) : otherwise;
     }
 
@@ -126,15 +137,18 @@
         return read;
     }
 
-    long time(String key) {
+    /** A time in µs; a missing one is a fault. */
+    public long time(String key) {
         return Math.round(number(key, Measure.TIME));
     }
 
-    long time(String key, long otherwise) {
+    /** A time in µs. */
+    public long time(String key, long otherwise) {
         return has(key) ? time(key) : otherwise;
     }
 
-    boolean flag(String key, boolean otherwise) {
+    /** True or false. */
+    public boolean flag(String key, boolean otherwise) {
         JsonNode value = take(key);
         if (value == null) {
             return otherwise;
@@ -145,7 +159,8 @@
         return value.asBoolean();
     }
 
-    String text(String key, String otherwise) {
+    /** A text; a missing one is a fault where {@code otherwise} is null. */
+    public String text(String key, String otherwise) {
         JsonNode value = take(key);
         if (value == null) {
             if (otherwise == null) {
@@ -160,7 +175,8 @@
         return value.asText();
     }
 
-    <E extends Enum<E>> E word(String key, Class<E> words, E otherwise) {
+    /** One of the words of an enumeration, in lower case. */
+    public <E extends Enum<E>> E word(String key, Class<E> words, E otherwise) {
         String text = text(key, otherwise == null ? null : otherwise.name());
         return choice(key, text, words, otherwise);
     }
@@ -177,7 +193,8 @@
         return otherwise == null ? words.getEnumConstants()[0] : otherwise;
     }
 
-    List<String> texts(String key, List<String> otherwise) {
+    /** A list of texts. */
+    public List<String> texts(String key, List<String> otherwise) {
         JsonNode value = take(key);
         if (value == null) {
             return otherwise;
@@ -190,18 +207,75 @@
         return all;
     }
 
+    /** A figure with a unit of its own, such as a rate or a size; null where missing or at fault. */
+    public Double figure(String key, Units units) {
+        JsonNode value = take(key);
+        if (value == null) {
+            return null;
+        }
+        Double read = value.isTextual() ? units.read(value.asText()) : null;
+        if (read == null) {
+            fault(key, "'" + key + "' is " + value + ": " + units.form() + " is wanted");
+        }
+        return read;
+    }
+
+    /** The values of a list, or the one value that stands without a list, as texts or tables; none where missing. */
+    public List<Object> items(String key) {
+        JsonNode value = take(key);
+        List<Object> all = new ArrayList<>();
+        if (value == null) {
+            return all;
+        }
+        if (!value.isArray()) {
+            item(key, value, at(key), all);
+        }
+        for (int i = 0; value.isArray() && i < value.size(); i++) {
+            item(key, value.get(i), at(key) + "[" + i + "]", all);
+        }
+        return all;
+    }
+
+    private void item(String key, JsonNode value, String at, List<Object> all) {
+        if (value.isTextual()) {
+            all.add(value.asText());
+        } else if (value instanceof ObjectNode o) {
+            all.add(new Section(source, o, at));
+        } else {
+            fault(key, "'" + key + "' holds " + value + ": a text or a table is wanted");
+        }
+    }
+
+    /** Whether the key is given as an empty list. */
+    public boolean holdsNothing(String key) {
+        JsonNode value = node.get(key);
+        return value != null && value.isArray() && value.isEmpty();
+    }
+
+    /** Names of all its keys, in the order of the file. */
+    public List<String> keys() {
+        List<String> names = new ArrayList<>();
+        node.fieldNames().forEachRemaining(names::add);
+        return names;
+    }
+
+    /** Where it stands, or one of its keys: {@code FILE:LINE}. */
+    public String place(String key) {
+        return source.place(key.isEmpty() ? path : at(key));
+    }
+
     /** A table within this one; an empty one where it is missing. */
-    Section table(String key) {
+    public Section table(String key) {
         JsonNode value = take(key);
         if (value != null && !value.isObject()) {
             fault(key, "'" + key + "' is " + value + ": a table is wanted");
         }
         ObjectNode table = value instanceof ObjectNode o ? o : node.objectNode();
-        return new Section(source, table, at(key));
+        return new Section(source, table, at(key), silent || value != null && !value.isObject());
     }
 
     /** The tables of a list; none where it is missing. */
-    List<Section> tables(String key) {
+    public List<Section> tables(String key) {
         JsonNode value = take(key);
         List<Section> all = new ArrayList<>();
         if (value == null) {
@@ -219,18 +293,18 @@
     }
 
     /** Names keys that nobody asked for. */
-    void done() {
+    public void done() {
         for (Iterator<String> names = node.fieldNames(); names.hasNext();) {
             String name = names.next();
             if (!used.contains(name)) {
                 fault(name, "unknown key '" + name + "'" + (path.isEmpty() ? "" : " in [" + path + "]")
-                    + meant(name, used));
+                    + meant(name, known));
             }
         }
     }
 
     /** "; did you mean ...?" where a known name is close to {@code word}. */
-    static String meant(String word, Collection<String> known) {
+    public static String meant(String word, Collection<String> known) {
         String best = null;
         int least = CLOSE;
         for (String k : known.stream().sorted().toList()) {
--- a/lab/src/main/java/junctionhead/lab/experiment/Source.java
+++ b/toml/src/main/java/junctionhead/toml/Source.java
@@ -1,4 +1,4 @@
-package junctionhead.lab.experiment;
+package junctionhead.toml;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -17,10 +17,10 @@
 import java.util.regex.Pattern;
 
 /**
- * The text of an experiment with all that it includes, as one tree, and where each key of it stands. The TOML
+ * The text of a file with all that it includes, as one tree, and where each key of it stands. The TOML
  * library keeps no places, so they are found by a scan for table heads and keys at line starts.
  */
-final class Source {
+public final class Source {
     private static final Pattern HEAD = Pattern.compile("^\\s*\\[(\\[?)\\s*([^\\]]+?)\\s*\\]\\]?\\s*(#.*)?$");
     private static final Pattern KEY = Pattern.compile("^\\s*([A-Za-z0-9_.\"-]+)\\s*=");
     private static final String INCLUDE = "include";
@@ -35,13 +35,19 @@
         this.file = file;
     }
 
-    static Source read(Path file) throws IOException {
+    /**
+     * Reads a file.
+     *
+     * @throws Faults where it, or what it includes, can't be read as TOML
+     */
+    public static Source read(Path file) throws IOException {
         Source s = new Source(file);
         s.tree = s.load(file, new ArrayList<>());
         return s;
     }
 
-    ObjectNode tree() {
+    /** All of it; the root of every section. */
+    public ObjectNode tree() {
         return tree;
     }
 
@@ -61,7 +67,7 @@
             own = read instanceof ObjectNode o ? o : new TomlMapper().createObjectNode();
         } catch (JsonProcessingException e) {
             int line = e.getLocation() == null ? 1 : e.getLocation().getLineNr();
-            throw new Faults(List.of(from.getFileName() + ":" + line + ": " + e.getOriginalMessage()));
+            throw new Faults(List.of(from.getFileName() + ":" + line + ": " + plain(e.getOriginalMessage())));
         }
         JsonNode include = own.remove(INCLUDE);
         if (include != null) {
@@ -75,6 +81,16 @@
         return own;
     }
 
+    private static String plain(String message) {
+        return switch (message) {
+            case "Unknown token" -> "neither a number, true or false, nor a text, which stands in quotes";
+            case "Table redefined" -> "this table is there already";
+            case "Duplicate key" -> "this key is there already";
+            case "Premature end of file" -> "the file ends before what was begun: a bracket or a quote is missing";
+            default -> message;
+        };
+    }
+
     // Tables are merged key by key, all else is replaced: troubles of the file stand for those of what it includes.
     private static ObjectNode merged(ObjectNode base, ObjectNode over) {
         for (Map.Entry<String, JsonNode> e : List.copyOf(over.properties())) {
@@ -111,17 +127,22 @@
     }
 
     /** Notes a fault at a key, or at the table that should hold it. */
-    void fault(String path, String what) {
+    public void fault(String path, String what) {
+        faults.add(place(path) + ": " + what);
+    }
+
+    /** Where a key stands, or the table that should hold it: {@code FILE:LINE}. */
+    public String place(String path) {
         String at = path;
         while (!at.isEmpty() && !places.containsKey(at)) {
-            int dot = at.lastIndexOf('.');
-            at = dot < 0 ? "" : at.substring(0, dot);
+            int cut = at.endsWith("]") ? at.lastIndexOf('[') : at.lastIndexOf('.');
+            at = cut < 0 ? "" : at.substring(0, cut);
         }
-        faults.add(places.getOrDefault(at, file.getFileName() + ":1") + ": " + what);
+        return places.getOrDefault(at, file.getFileName() + ":1");
     }
 
     /** Ends the reading: all faults at once, in the order of their lines. */
-    void check() {
+    public void check() {
         if (!faults.isEmpty()) {
             TreeMap<Integer, List<String>> sorted = new TreeMap<>();
             for (String f : faults) {
