Set routes, pools and limits in an operator file that is checked before it binds

Reason: larger installations put several fleets behind one front, and must be able to say what a file will do before it does it.

Change: $ROUTER_OPERATOR_FILE (docs/operator-file.md), read strictly with all faults at once, swapped whole by SIGHUP or not at all; pools with a module, list, connections and memory of their own; a pool dropped drains first; bin/junctionhead check, explain, diff, routes; one SLF4J logger behind a bounded queue that drops and counts, JSON lines by the file.

--- a/balancer/src/main/java/junctionhead/Main.java
+++ b/balancer/src/main/java/junctionhead/Main.java
@@ -9,12 +9,13 @@
 import java.io.InputStreamReader;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import junctionhead.cli.Commands;
 import junctionhead.net.Node;
 import junctionhead.policy.Balance;
 import junctionhead.wire.Adapter;
 import junctionhead.wire.WireException;
 
-/** Starts a real balancer, or the adapter on standard input and output. */
+/** Starts a real balancer, the adapter on standard input and output, or a tool. */
 public final class Main {
     private Main() { }
 
@@ -23,8 +24,7 @@
             System.exit(Node.serve(System.getenv()));
         }
         if (args.length != 1 || !args[0].equals("wirehost")) {
-            System.err.println("usage: java -jar junctionhead.jar serve | wirehost");
-            System.exit(2);
+            System.exit(Commands.run(args));
         }
         try (BufferedReader in = new BufferedReader(new InputStreamReader(
                  new FileInputStream(FileDescriptor.in), StandardCharsets.UTF_8), 1 << 16);
--- a/balancer/src/main/java/junctionhead/net/ClientServer.java
+++ b/balancer/src/main/java/junctionhead/net/ClientServer.java
@@ -36,11 +36,11 @@
     private static final long FRESH = TimeUnit.MILLISECONDS.toNanos(100);
     private static final long STUCK = TimeUnit.MILLISECONDS.toNanos(700);
     private static final long LONG_REST = TimeUnit.SECONDS.toNanos(1);
-    private static final long ROOM = 6 << 20;       // bytes of bodies of clients held together
+    static final long ROOM = 6 << 20;       // bytes of bodies of clients held together
 
     private final EventLoop loop;
     private SettingsReader.Boot boot;
-    private final Dispatcher dispatcher;
+    private Desk desk;
     private final Descriptors descriptors;
     private final BooleanSupplier shedIdleUpstream;
     private final Room room = new Room(ROOM);
@@ -54,11 +54,11 @@
     private boolean makingRoom;
     private Rehearsal rehearsal;                    // while it is on
 
-    ClientServer(EventLoop loop, SettingsReader.Boot boot, Dispatcher dispatcher, Descriptors descriptors,
+    ClientServer(EventLoop loop, SettingsReader.Boot boot, Desk desk, Descriptors descriptors,
             BooleanSupplier shedIdleUpstream) {
         this.loop = loop;
         this.boot = boot;
-        this.dispatcher = dispatcher;
+        this.desk = desk;
         this.descriptors = descriptors;
         this.shedIdleUpstream = shedIdleUpstream;
     }
@@ -124,6 +124,11 @@
         boot = next;
     }
 
+    /** Hands requests over there from here on. */
+    void to(Desk other) {
+        desk = other;
+    }
+
     /** Takes connections from here on. */
     void accept() {
         accepting = !stopping || !shared;
@@ -284,7 +289,7 @@
                 client.refuse(HttpResponseStatus.BAD_REQUEST, e.getMessage());
                 return;
             }
-            Dispatcher to = path.equals(Rehearsal.PATH) ? rehearsal.dispatcher() : dispatcher;
+            Desk to = path.equals(Rehearsal.PATH) ? rehearsal.dispatcher() : desk;
             if (to.holds(order.id())) {
                 // An upstream could not tell the two apart, and might answer one with the other's.
                 client.refuse(HttpResponseStatus.CONFLICT, "a request with this Req-Id is open");
@@ -332,6 +337,12 @@
                 "text/plain", "Retry-After", seconds, keep);
         }
 
+        @Override
+        public void reject(HttpResponseStatus status, String why) {
+            given = true;
+            client.plain(status, why, keep);
+        }
+
         @Override
         public void fail() {
             given = true;
--- a/balancer/src/main/java/junctionhead/net/Config.java
+++ b/balancer/src/main/java/junctionhead/net/Config.java
@@ -3,9 +3,7 @@
 import com.fasterxml.jackson.jr.ob.JSON;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.UnknownHostException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
@@ -16,6 +14,7 @@
 import java.util.TreeSet;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
+import junctionhead.wire.Endpoints;
 import junctionhead.wire.SettingsReader;
 
 /** What a balancer is told at its start, by its environment and its configuration file. */
@@ -158,7 +157,7 @@
 
     private static InetSocketAddress address(String what, String text) {
         try {
-            return Targets.address(text);
+            return Endpoints.address(text);
         } catch (IllegalArgumentException e) {
             throw new Bad(what + ": " + e.getMessage());
         }
@@ -175,18 +174,6 @@
         }
     }
 
-    /** An address literal: there is no DNS here, and a name must not make the start wait for one. */
-    static InetSocketAddress literal(String host, int port) {
-        if (!host.matches("[0-9.]+|\\[?[0-9a-fA-F:.]*:[0-9a-fA-F:.]*]?")) {
-            throw new IllegalArgumentException("not an address: '" + host + "'");
-        }
-        try {
-            return new InetSocketAddress(InetAddress.getByName(host), port);
-        } catch (UnknownHostException e) {
-            throw new IllegalArgumentException("not an address: '" + host + "'");
-        }
-    }
-
     /** The names of the simulator's wire: paths joined by dots, lists of plain values by commas. */
     static void flatten(String path, Object value, Map<String, String> into) {
         if (value instanceof Map<?, ?> map) {
--- a/balancer/src/main/java/junctionhead/net/Descriptors.java
+++ b/balancer/src/main/java/junctionhead/net/Descriptors.java
@@ -5,7 +5,7 @@
  * that fail for want of descriptors: a reserve stays for what is not counted here (jars, the selector,
  * discovery, the listener), and a part for the upstreams, whatever clients open.
  */
-final class Descriptors {
+final class Descriptors implements Budget {
     private static final int RESERVE = 64;
     private static final double OWN_LEAST = 0.4;
     private static final double CLIENTS_SHARE = 0.65;
@@ -30,15 +30,22 @@
         clientsMost = Math.max(2, (int) (most * CLIENTS_SHARE));
     }
 
+    /** Connections to upstreams that fit beside as many clients as may come. */
+    int forUpstreams() {
+        return Math.max(1, most - clientsMost);
+    }
+
     int open() {
         return open;
     }
 
-    void opened() {
+    @Override
+    public void opened() {
         open++;
     }
 
-    void closed() {
+    @Override
+    public void closed() {
         open--;
     }
 
@@ -52,7 +59,8 @@
         clients--;
     }
 
-    boolean full() {
+    @Override
+    public boolean full() {
         return open >= most;
     }
 
--- a/balancer/src/main/java/junctionhead/net/Discovery.java
+++ b/balancer/src/main/java/junctionhead/net/Discovery.java
@@ -29,9 +29,9 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
-import java.util.function.Consumer;
-import junctionhead.policy.Policy;
+import junctionhead.logs.Log;
 import junctionhead.policy.Policy.ListKind;
+import junctionhead.policy.Policy;
 import junctionhead.wire.SettingsReader;
 
 /**
@@ -49,7 +49,7 @@
     private InetSocketAddress address;
     private SettingsReader.Boot boot;
     private final BiConsumer<ListKind, Targets> news;
-    private final Consumer<String> log;
+    private final Log log;
     private final boolean pushed;
     private long rev;
     private Call watch;
@@ -57,7 +57,7 @@
 
     /** {@code news} gets each list and change; FAILED and null where a call or the watch has failed. */
     Discovery(EventLoop loop, InetSocketAddress address, SettingsReader.Boot boot, long rev,
-            BiConsumer<ListKind, Targets> news, Consumer<String> log) {
+            BiConsumer<ListKind, Targets> news, Log log) {
         this.loop = loop;
         this.address = address;
         this.boot = boot;
--- a/balancer/src/main/java/junctionhead/net/Dispatcher.java
+++ b/balancer/src/main/java/junctionhead/net/Dispatcher.java
@@ -1,6 +1,7 @@
 package junctionhead.net;
 
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -10,8 +11,8 @@
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.function.LongConsumer;
+import junctionhead.logs.Log;
 import junctionhead.policy.Policy;
 import junctionhead.wire.SettingsReader;
 
@@ -20,7 +21,7 @@
  * attempts; tells it what happens and carries out what it asks for. It decides nothing. All of it runs on the
  * event loop's thread.
  */
-final class Dispatcher implements Policy.Actions {
+final class Dispatcher implements Desk, Policy.Actions {
     /** µs before a client's time is over at which it gets a failure if nothing else has answered it. */
     static final long GUARD = 6_000;
     /** µs before that at which the last attempt ends, so that the module can word the answer itself. */
@@ -34,6 +35,16 @@
         void refuse(long retryAfter);
 
         void fail();
+
+        /** Turned away before anything was sent, by that status. */
+        default void reject(HttpResponseStatus status, String why) {
+            fail();
+        }
+
+        /** Whether the request may be sent, for the attempt of that number from 0; counts it where so. */
+        default boolean maySend(int attempt) {
+            return true;
+        }
     }
 
     /** A request that has been taken, and its attempts. */
@@ -76,7 +87,7 @@
     private final EventLoop loop;
     private SettingsReader.Boot boot;
     private final Policy policy;
-    private final Consumer<String> log;
+    private final Log log;
     private final long unixAtStart = System.currentTimeMillis() * 1000;
     private final long nanosAtStart = System.nanoTime();
     private final Map<String, Exchange> table = new HashMap<>();
@@ -90,9 +101,9 @@
     private long guarded;
     private long faults;
     private int owed;
-    private Runnable whenIdle;
+    private final List<Runnable> whenIdle = new ArrayList<>(1);
 
-    Dispatcher(EventLoop loop, SettingsReader.Boot boot, Policy policy, Consumer<String> log) {
+    Dispatcher(EventLoop loop, SettingsReader.Boot boot, Policy policy, Log log) {
         this.loop = loop;
         this.boot = boot;
         this.policy = policy;
@@ -130,7 +141,8 @@
                     // The guard answers what this leaves unanswered; one event must not end the balancer.
                     faults++;
                     StackTraceElement[] trace = e.getStackTrace();
-                    log.accept("fault " + faults + ": " + e + (trace.length == 0 ? "" : " at " + trace[0]));
+                    log.warn("fault " + faults + ": " + e + (trace.length == 0 ? "" : " at " + trace[0]), "faults",
+                        faults);
                 }
             }
         } finally {
@@ -138,8 +150,8 @@
         }
     }
 
-    /** Takes a request, for one final answer; returns what to run if the client leaves before it. */
-    Runnable take(Order order, Reply reply) {
+    @Override
+    public Runnable take(Order order, Reply reply) {
         String id = Long.toString(++taken, Character.MAX_RADIX);
         Exchange x = new Exchange(id, order, reply, now() + order.timeLeft(),
             boot.settings().limits().maxAttempts());
@@ -166,8 +178,8 @@
         }
     }
 
-    /** Whether a request by that name of its client's is open, or an attempt of it. */
-    boolean holds(String id) {
+    @Override
+    public boolean holds(String id) {
         return ids.contains(id);
     }
 
@@ -184,7 +196,7 @@
         if (!x.closed) {
             guarded++;
             if (Long.bitCount(guarded) == 1) {
-                log.accept("last-resort answers: " + guarded);
+                log.warn("last-resort answers: " + guarded, "last_resort", guarded);
             }
             close(x);
             x.reply.fail();
@@ -204,8 +216,9 @@
             x.guard.cancel(false);
         }
         owed--;
-        if (owed == 0 && whenIdle != null) {
-            loop.execute(whenIdle);
+        if (owed == 0 && !whenIdle.isEmpty()) {
+            whenIdle.forEach(loop::execute);
+            whenIdle.clear();
         }
     }
 
@@ -286,9 +299,10 @@
 
     /** Runs {@code then} on the loop, once no final answer is owed any more. */
     void whenIdle(Runnable then) {
-        whenIdle = then;
         if (owed == 0) {
             loop.execute(then);
+        } else {
+            whenIdle.add(then);
         }
     }
 
@@ -314,7 +328,8 @@
         long left = (coming ? x.order.timeLeft() : x.deadline - now) - GUARD - LAST_WORD;
         long wait = timeout == 0 ? left : Math.min(timeout, left);
         boolean allowed = !x.closed && wait > 0 && a.number < x.attemptsMost
-            && (rest == null || !rest.taken());     // what has been passed on can't be sent again
+            && (rest == null || !rest.taken())      // what has been passed on can't be sent again
+            && x.reply.maySend(a.number);
         if (allowed) {
             if (coming) {
                 rest.whenWhole(() -> limit(a, wait));
--- /dev/null
+++ b/balancer/src/main/java/junctionhead/net/Gateway.java
@@ -0,0 +1,345 @@
+package junctionhead.net;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import junctionhead.front.Front;
+import junctionhead.front.FrontPlan;
+import junctionhead.logs.Log;
+import junctionhead.operator.Operator;
+import junctionhead.operator.PoolSpec;
+import junctionhead.policy.Policy;
+import junctionhead.routes.PathTemplate;
+import junctionhead.routes.Route;
+import junctionhead.wire.SettingsReader;
+
+/**
+ * The front on sockets: hands each request to the dispatcher of the pool that {@link Front} names, and refuses what
+ * that refuses. It decides nothing. All of it runs on the event loop's thread; it is there only with an operator file.
+ */
+final class Gateway implements Desk {
+    private static final long LOOK_MS = 100;                // between looks at how many upstreams each pool has
+    private static final Runnable NOTHING = () -> { };
+
+    /** The pool that the platform lists, which is there in any case. */
+    record Site(Dispatcher dispatcher, Membership membership) { }
+
+    private final EventLoop loop;
+    private final Site site;
+    private final Pool.Ground ground;
+    private final int connections;
+    private final long memory;
+    private final Log log;
+    private final SplittableRandom random;
+    private final Map<String, Pool> pools = new LinkedHashMap<>();
+    private final Set<Pool> draining = new LinkedHashSet<>();
+    private final PoolBudget siteBudget;
+    private final Map<Front.Reason, Long> refusals = new EnumMap<>(Front.Reason.class);
+    private Operator operator;
+    private Front front;
+    private SettingsReader.Boot boot;
+    private List<String> headers = List.of();
+    private double[] ranks = new double[0];
+    private long swaps;
+
+    /**
+     * A gateway before the site's own pool alone, until {@link #operate} is called.
+     *
+     * @param connections to upstreams that all pools may open together
+     * @param memory bytes of bodies that all pools may hold together
+     */
+    Gateway(Site site, Pool.Ground ground, SettingsReader.Boot boot, int connections, long memory) {
+        this.loop = ground.loop();
+        this.site = site;
+        this.ground = ground;
+        this.boot = boot;
+        this.connections = connections;
+        this.memory = memory;
+        this.log = ground.log();
+        this.random = new SplittableRandom(ground.seed());
+        this.siteBudget = new PoolBudget(ground.connections(), Integer.MAX_VALUE, Long.MAX_VALUE);
+    }
+
+    /** Goes by that file from here on: what has the same name goes on, what is gone drains first. */
+    void operate(Operator next) {
+        boolean first = operator == null;
+        operator = next;
+        int parts = next.pools().size();
+        Set<String> named = new LinkedHashSet<>();
+        for (PoolSpec spec : next.pools()) {
+            named.add(spec.name());
+            int most = spec.connections() > 0 ? spec.connections() : Math.max(1, connections / parts);
+            long bytes = spec.memory() > 0 ? spec.memory() : Math.max(RequestRules.BODY_MOST, memory / parts);
+            if (spec.name().equals(PoolSpec.SITE)) {
+                siteBudget.set(Integer.MAX_VALUE, bytes);
+                continue;
+            }
+            Pool pool = pools.get(spec.name());
+            if (pool != null && pool.becomes(spec)) {
+                pool.budget().set(most, bytes);
+                pool.become(spec, boot);
+            } else {
+                if (pool != null) {
+                    drain(pool);
+                }
+                Pool fresh = new Pool(ground, spec, boot, new PoolBudget(ground.connections(), most, bytes));
+                pools.put(spec.name(), fresh);
+                fresh.start();
+            }
+        }
+        for (Pool pool : List.copyOf(pools.values())) {
+            if (!named.contains(pool.name())) {
+                drain(pool);
+            }
+        }
+        Front fresh = new Front(next.front());
+        if (front != null) {
+            fresh.resume(front);
+            swaps++;
+        }
+        front = fresh;
+        Set<String> wanted = new LinkedHashSet<>();
+        front.table().routes().forEach(r -> wanted.addAll(r.headers().keySet()));
+        headers = List.copyOf(wanted);
+        rank();
+        look();
+        if (first) {
+            loop.scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** The site's settings have changed. */
+    void reconfigure(SettingsReader.Boot next) {
+        boot = next;
+        pools.values().forEach(p -> p.become(p.spec(), next));
+        rank();
+    }
+
+    private void rank() {
+        List<Policy.RequestClass> classes = boot.settings().classes();
+        double least = classes.stream().mapToDouble(Policy.RequestClass::worth).min().orElse(0);
+        double most = classes.stream().mapToDouble(Policy.RequestClass::worth).max().orElse(0);
+        ranks = classes.stream().mapToDouble(c -> most > least ? (c.worth() - least) / (most - least) : 1).toArray();
+    }
+
+    private void drain(Pool pool) {
+        pools.remove(pool.name());
+        draining.add(pool);
+        pool.drain(() -> {
+            draining.remove(pool);
+            log.event("pool " + pool.name() + " has drained and is closed: " + pool.dispatcher().summary(), "pool",
+                pool.name(), "drained", true);
+        });
+    }
+
+    private void look() {
+        long now = site.dispatcher.now();
+        front.listed(now, PoolSpec.SITE, site.membership.up());
+        pools.values().forEach(p -> front.listed(now, p.name(), p.membership().up()));
+    }
+
+    // ---- requests
+
+    @Override
+    public boolean holds(String id) {
+        if (site.dispatcher.holds(id)) {
+            return true;
+        }
+        for (Pool p : pools.values()) {
+            if (p.dispatcher().holds(id)) {
+                return true;
+            }
+        }
+        for (Pool p : draining) {
+            if (p.dispatcher().holds(id)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    @Override
+    public Runnable take(Order order, Dispatcher.Reply reply) {
+        long now = site.dispatcher.now();
+        Front.Verdict v = front.arrive(now, arrival(order));
+        if (v.ticket() == null) {
+            count(v.reason());
+            switch (v.answer()) {
+                case NOT_FOUND -> reply.reject(HttpResponseStatus.NOT_FOUND, "no route");
+                case BAD_PATH -> reply.reject(HttpResponseStatus.BAD_REQUEST, "a path that can't be routed");
+                default -> reply.refuse(v.retryAfter());
+            }
+            return NOTHING;
+        }
+        Pool pool = pools.get(v.ticket().pool());
+        PoolBudget budget = pool == null ? siteBudget : pool.budget();
+        if (!budget.hold(order.body().length)) {
+            count(Front.Reason.POOL_LIMIT);
+            front.ended(now, v.ticket(), Front.End.UNSENT);
+            reply.refuse(operator.front().retryAfter().least());
+            return NOTHING;
+        }
+        long most = v.ticket().deadline();
+        Order sent = most > 0 && most < order.timeLeft() ? order.within(most) : order;
+        Through through = new Through(reply, v.ticket(), budget, order.body().length);
+        Runnable leave = (pool == null ? site.dispatcher : pool.dispatcher()).take(sent, through);
+        return () -> {
+            through.over(Front.End.GONE);
+            leave.run();
+        };
+    }
+
+    private Front.Arrival arrival(Order order) {
+        Map<String, String> asked = Map.of();
+        if (!headers.isEmpty()) {
+            asked = new HashMap<>();
+            for (String h : headers) {
+                String value = order.headers().get(h);
+                if (value != null) {
+                    asked.put(h, value);
+                }
+            }
+        }
+        String tenant = order.headers().get(RequestRules.TENANT);
+        Route.Request request = new Route.Request(order.method().name(), PathTemplate.split(order.uri()), asked, tenant,
+            boot.classes().get(order.requestClass()));
+        return new Front.Arrival(request, order.key(), ranks[order.requestClass()], order.resubmission(),
+            random.nextDouble());
+    }
+
+    // One line for each power of two: a storm is not to fill the log.
+    private void count(Front.Reason reason) {
+        long many = refusals.merge(reason, 1L, Long::sum);
+        if (Long.bitCount(many) == 1) {
+            String name = reason.name().toLowerCase(Locale.ROOT);
+            log.event("refused by the front, " + name + ": " + many, "refused", name, "count", many);
+        }
+    }
+
+    /** The way of a request's one final answer back through the front, which hears how it ended. */
+    private final class Through implements Dispatcher.Reply {
+        private final Dispatcher.Reply reply;
+        private final Front.Ticket ticket;
+        private final PoolBudget budget;
+        private final long held;
+        private boolean sent;
+        private boolean over;
+
+        Through(Dispatcher.Reply reply, Front.Ticket ticket, PoolBudget budget, long held) {
+            this.reply = reply;
+            this.ticket = ticket;
+            this.budget = budget;
+            this.held = held;
+        }
+
+        void over(Front.End end) {
+            if (!over) {
+                over = true;
+                budget.release(held);
+                front.ended(site.dispatcher.now(), ticket, end);
+            }
+        }
+
+        @Override
+        public boolean maySend(int attempt) {
+            sent = true;
+            return attempt == 0 || front.mayTryAgain(site.dispatcher.now(), ticket);
+        }
+
+        @Override
+        public void serve(AnswerReader.Answer answer) {
+            over(Front.End.SERVED);
+            reply.serve(answer);
+        }
+
+        @Override
+        public void refuse(long retryAfter) {
+            over(sent ? Front.End.FAILED : Front.End.UNSENT);
+            reply.refuse(retryAfter);
+        }
+
+        @Override
+        public void fail() {
+            over(Front.End.FAILED);
+            reply.fail();
+        }
+    }
+
+    // ---- operators
+
+    /** Takes an upstream of any pool out; false where none has it. */
+    boolean setDown(String id) {
+        boolean known = false;
+        for (Pool p : pools.values()) {
+            known |= p.membership().setDown(id);
+        }
+        return known;
+    }
+
+    /** Puts it back. */
+    boolean setUp(String id) {
+        boolean known = false;
+        for (Pool p : pools.values()) {
+            known |= p.membership().setUp(id);
+        }
+        return known;
+    }
+
+    Operator operator() {
+        return operator;
+    }
+
+    /** Pools that take nothing more and still have requests open. */
+    int draining() {
+        return draining.size();
+    }
+
+    long swaps() {
+        return swaps;
+    }
+
+    Front front() {
+        return front;
+    }
+
+    /** Runs {@code then} on the loop once no pool beside the site's owes an answer. */
+    void whenIdle(Runnable then) {
+        List<Dispatcher> all = new ArrayList<>();
+        pools.values().forEach(p -> all.add(p.dispatcher()));
+        draining.forEach(p -> all.add(p.dispatcher()));
+        int[] left = {all.size()};
+        if (all.isEmpty()) {
+            then.run();
+        }
+        for (Dispatcher d : all) {
+            d.whenIdle(() -> {
+                if (--left[0] == 0) {
+                    then.run();
+                }
+            });
+        }
+    }
+
+    /** What it came to, for the log. */
+    String summary() {
+        return pools.values().stream().map(p -> "; pool " + p.name() + ": " + p.dispatcher().summary())
+            .collect(Collectors.joining()) + "; refused by the front: "
+            + refusals.values().stream().mapToLong(n -> n).sum() + ", files taken over: " + (swaps + 1);
+    }
+
+    /** Plan that it goes by. */
+    FrontPlan plan() {
+        return front.plan();
+    }
+}
--- a/balancer/src/main/java/junctionhead/net/Membership.java
+++ b/balancer/src/main/java/junctionhead/net/Membership.java
@@ -51,6 +51,15 @@
         news.accept(kind, new Targets(rev, targets.all(), targets.list().stream().map(this::here).toList()));
     }
 
+    /** How many upstreams may be sent to. */
+    int up() {
+        int many = 0;
+        for (Targets.Target t : told.values()) {
+            many += t.server().state() == Policy.State.UP && !takenOut.holds(t.server().id()) ? 1 : 0;
+        }
+        return many;
+    }
+
     /** All that discovery has told, whatever operators have taken out. */
     Targets told() {
         return new Targets(rev, true, List.copyOf(told.values()));
--- a/balancer/src/main/java/junctionhead/net/Node.java
+++ b/balancer/src/main/java/junctionhead/net/Node.java
@@ -18,16 +18,19 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 import junctionhead.admin.AdminListener;
 import junctionhead.admin.Operations;
 import junctionhead.drain.TakenOut;
 import junctionhead.handover.InheritedListener;
 import junctionhead.handover.PeerLink;
+import junctionhead.logs.Log;
+import junctionhead.logs.Provider;
+import junctionhead.operator.Operator;
 import junctionhead.policy.Balance;
 import junctionhead.policy.Policy;
 import junctionhead.wire.SettingsReader;
+import org.slf4j.LoggerFactory;
 
 /** One real balancer: its start, its readiness and its orderly stop. */
 public final class Node {
@@ -38,7 +41,7 @@
     private static final double HALF = 0.5;
     private static final long FLUSH_MS = 20;        // for the last answers to leave
 
-    private final Consumer<String> log;
+    private final Log log;
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final EventLoop loop = group.next();
     private final Dispatcher dispatcher;
@@ -55,6 +58,8 @@
     private volatile Config config;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final CountDownLatch readied = new CountDownLatch(1);
+    private final BiFunction<Policy.Settings, Long, Policy> module;
+    private Gateway gateway;                        // only where there is an operator file; the loop's
     private boolean hasList;
     private boolean rehearsed;
 
@@ -68,12 +73,12 @@
 
     /** A node that is ready without a rehearsal, where {@code rehearse} is false. */
     Node(Config config, BiFunction<Policy.Settings, Long, Policy> module, boolean rehearse,
-            Consumer<String> log) {
+            Log log) {
         this(config, new Platform(null, null), module, rehearse, log);
     }
 
     Node(Config config, Platform platform, BiFunction<Policy.Settings, Long, Policy> module,
-            boolean rehearse, Consumer<String> log) {
+            boolean rehearse, Log log) {
         this.platform = platform;
         this.rehearsed = !rehearse;
         this.config = config;
@@ -89,7 +94,8 @@
         dispatcher.attach(upstreams, discovery);
         membership = new Membership(new TakenOut(), dispatcher::now, dispatcher::listed);
         admin = new AdminListener(loop, onCall);
-        link = new PeerLink(loop, platform.folder(), succession, log);
+        link = new PeerLink(loop, platform.folder(), succession, log::accept);
+        this.module = module;
     }
 
     /** What passes between this process and one that it replaces or that replaces it. */
@@ -107,9 +113,9 @@
         @Override
         public void told(Map<String, Object> message) {
             if (message.get("down") instanceof String id) {
-                membership.setDown(id);
+                onCall.down(id);
             } else if (message.get("up") instanceof String id) {
-                membership.setUp(id);
+                onCall.up(id);
             } else if (message.get("open") instanceof Number open) {
                 descriptors.leave(open.intValue() + OWN_FILES);
             } else if (message.containsKey("serving")) {
@@ -165,30 +171,47 @@
                 : readied.getCount() > 0 ? "no list of upstreams yet" : null;
         }
 
+        boolean down(String id) {
+            return membership.setDown(id) || gateway != null && gateway.setDown(id);
+        }
+
+        boolean up(String id) {
+            return membership.setUp(id) || gateway != null && gateway.setUp(id);
+        }
+
         @Override
         public boolean setDown(String id) {
-            boolean known = membership.setDown(id);
+            boolean known = down(id);
             if (known) {
                 link.tell(Map.of("down", id));
             }
-            log.accept("set-down " + id + (known ? "" : ": no such upstream"));
+            log.event("set-down " + id + (known ? "" : ": no such upstream"), "call", "set-down", "upstream", id,
+                "known", known);
             return known;
         }
 
         @Override
         public boolean setUp(String id) {
-            boolean known = membership.setUp(id);
+            boolean known = up(id);
             if (known) {
                 link.tell(Map.of("up", id));
             }
-            log.accept("set-up " + id + (known ? "" : ": no such upstream"));
+            log.event("set-up " + id + (known ? "" : ": no such upstream"), "call", "set-up", "upstream", id,
+                "known", known);
             return known;
         }
     }
 
     /** Runs a balancer until it is told to stop; returns only if it can't start. */
     public static int serve(Map<String, String> environment) {
-        Consumer<String> log = line -> System.err.println("junctionhead: " + line);
+        Provider.install();
+        Log log = Log.to(LoggerFactory.getLogger("junctionhead"));
+        int code = serve(environment, log);
+        Provider.sink().drain(FLUSH_MS);
+        return code;
+    }
+
+    private static int serve(Map<String, String> environment, Log log) {
         Node node;
         InetSocketAddress at;
         try {
@@ -200,6 +223,11 @@
             log.accept(e.getMessage());
             return 1;
         }
+        String operators = environment.get("ROUTER_OPERATOR_FILE");
+        Path operatorFile = operators == null || operators.isBlank() ? null : Path.of(operators.strip());
+        if (operatorFile != null && !node.operate(operatorFile, true)) {
+            return 1;
+        }
         if (node.config.admin() != null) {
             try {
                 node.listenForOperators();
@@ -216,10 +244,16 @@
         }
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             node.stop();
+            Provider.sink().drain(FLUSH_MS);
             // Without this the exit code would tell of the signal, not of the orderly end.
             Runtime.getRuntime().halt(0);
         }));
-        if (!Hangup.onEach(() -> node.reload(() -> Config.again(environment)))) {
+        if (!Hangup.onEach(() -> {
+            node.reload(() -> Config.again(environment));
+            if (operatorFile != null) {
+                node.operate(operatorFile, true);
+            }
+        })) {
             log.accept("no SIGHUP here: a new configuration needs a restart");
         }
         // Said only now: whoever reads it may send the signals at once.
@@ -302,7 +336,7 @@
                 throw new Config.Bad("settings: " + lacks + ": was there before and is missing");
             }
         } catch (Config.Bad e) {
-            log.accept("configuration not taken over: " + e.getMessage());
+            log.warn("configuration not taken over: " + e.getMessage(), "config", "kept");
             return;
         }
         SettingsReader.Boot before = config.boot();
@@ -316,12 +350,53 @@
                 dispatcher.reconfigure(fresh.boot());
                 upstreams.reconfigure(fresh.boot());
                 clients.reconfigure(fresh.boot());
+                if (gateway != null) {
+                    gateway.reconfigure(fresh.boot());
+                }
                 discovery.reconfigure(fresh.boot());
             }
             discovery.moveTo(fresh.discovery());
         });
     }
 
+    /**
+     * Goes by that operator file from here on, or keeps what it had where the file can't be used. Not for the loop's
+     * thread: it reads a file.
+     *
+     * @param logs whether the process's own log goes by it as well
+     * @return whether the file was taken over
+     */
+    synchronized boolean operate(Path file, boolean logs) {
+        Operator next;
+        try {
+            next = OperatorFile.read(file, config.boot());
+        } catch (Config.Bad e) {
+            log.warn(e.getMessage(), "operator_file", "refused");
+            return false;
+        }
+        next.notes().forEach(log::accept);
+        if (logs) {
+            Provider.sink().configure(next.log().json(), next.log().queue());
+        }
+        loop.submit(() -> {
+            if (gateway == null) {
+                Pool.Ground ground = new Pool.Ground(loop, module, config.seed(), descriptors, clients::shed, log);
+                gateway = new Gateway(new Gateway.Site(dispatcher, membership), ground, config.boot(),
+                    descriptors.forUpstreams(), ClientServer.ROOM);
+                clients.to(gateway);
+            }
+            gateway.operate(next);
+            log.event("operator file taken over: " + next.pools().size() + " pools, " + next.front().routes().size()
+                + " routes", "operator_file", "taken", "pools", next.pools().size(), "routes",
+                next.front().routes().size());
+        }).syncUninterruptibly();
+        return true;
+    }
+
+    Gateway gateway() {
+        return gateway;
+    }
+
     // Ready once an upstream may be sent to: what was known from before will do until discovery answers.
     void listed(Policy.ListKind kind, Targets targets) {
         membership.listed(kind, targets);
@@ -355,7 +430,7 @@
             endWhenEmpty();
         }, LINGER_MS, TimeUnit.MILLISECONDS);
         await();
-        log.accept("stopped: " + dispatcher.summary());
+        log.accept("stopped: " + dispatcher.summary() + (gateway == null ? "" : gateway.summary()));
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 
@@ -374,10 +449,20 @@
             loop.schedule(this::end, FLUSH_MS, TimeUnit.MILLISECONDS);
             return;
         }
-        dispatcher.whenIdle(() -> loop.schedule(() -> {
+        dispatcher.whenIdle(() -> {
+            if (gateway == null) {
+                left();
+            } else {
+                gateway.whenIdle(this::left);
+            }
+        });
+    }
+
+    private void left() {
+        loop.schedule(() -> {
             link.close();
             stopped.countDown();
-        }, FLUSH_MS, TimeUnit.MILLISECONDS));
+        }, FLUSH_MS, TimeUnit.MILLISECONDS);
     }
 
     private void await() {
--- /dev/null
+++ b/balancer/src/main/java/junctionhead/net/OperatorFile.java
@@ -0,0 +1,43 @@
+package junctionhead.net;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Map;
+import junctionhead.operator.Operator;
+import junctionhead.operator.OperatorReader;
+import junctionhead.toml.Faults;
+import junctionhead.wire.SettingsReader;
+
+/** Reads the operator file against the platform's configuration. Loaded only where there is such a file. */
+public final class OperatorFile {
+    private OperatorFile() { }
+
+    static Operator read(Path file, SettingsReader.Boot boot) {
+        try {
+            return OperatorReader.read(file, site(boot));
+        } catch (Faults e) {
+            throw new Config.Bad("operator file: " + String.join("; ", e.lines()));
+        } catch (IOException e) {
+            throw new Config.Bad("operator file: can't read " + file + ": " + e.getMessage());
+        }
+    }
+
+    private static Operator.Site site(SettingsReader.Boot boot) {
+        return new Operator.Site(boot.classes(), boot.tenants().isEmpty() ? null : boot.tenants(),
+            boot.settings().balancers(), boot.settings().limits().retryAfterMax());
+    }
+
+    /**
+     * What a balancer's configuration says that an operator file must fit.
+     *
+     * @throws IllegalArgumentException for a configuration that can't be used, in one line
+     */
+    public static Operator.Site site(Path config) {
+        try {
+            return site(Config.read(Map.of("ROUTER_CONFIG", config.toString(), "ROUTER_NAME", "check",
+                "ROUTER_LISTEN", "127.0.0.1:0", "ROUTER_DISCOVERY", "127.0.0.1:0")).boot());
+        } catch (Config.Bad e) {
+            throw new IllegalArgumentException(e.getMessage(), e);
+        }
+    }
+}
--- a/balancer/src/main/java/junctionhead/net/Order.java
+++ b/balancer/src/main/java/junctionhead/net/Order.java
@@ -10,6 +10,11 @@
  */
 record Order(String id, HttpMethod method, String uri, HttpHeaders headers, byte[] body, Flow rest,
         int requestClass, int tenant, String key, long timeLeft, long work, boolean resubmission) {
+    /** The same with less time. */
+    Order within(long other) {
+        return new Order(id, method, uri, headers, body, rest, requestClass, tenant, key, other, work, resubmission);
+    }
+
     /** The same for another path. */
     Order to(String other) {
         return new Order(id, method, other, headers, body, rest, requestClass, tenant, key, timeLeft, work,
--- /dev/null
+++ b/balancer/src/main/java/junctionhead/net/Pool.java
@@ -0,0 +1,141 @@
+package junctionhead.net;
+
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BiFunction;
+import java.util.function.BooleanSupplier;
+import junctionhead.drain.TakenOut;
+import junctionhead.logs.Log;
+import junctionhead.operator.PoolSpec;
+import junctionhead.policy.Policy.ListKind;
+import junctionhead.policy.Policy;
+import junctionhead.wire.SettingsReader;
+
+/** One pool beside the platform's: a module of its own with its list, its connections and its budgets. */
+final class Pool {
+    /** What all pools of a process share. */
+    record Ground(EventLoop loop, BiFunction<Policy.Settings, Long, Policy> module, long seed, Budget connections,
+            BooleanSupplier shedClients, Log log) { }
+
+    private final Ground ground;
+    private final Dispatcher dispatcher;
+    private final Upstreams upstreams;
+    private final Membership membership;
+    private final Discovery discovery;
+    private final PoolBudget budget;
+    private PoolSpec spec;
+    private SettingsReader.Boot boot;
+
+    Pool(Ground ground, PoolSpec spec, SettingsReader.Boot site, PoolBudget budget) {
+        this.ground = ground;
+        this.spec = spec;
+        this.budget = budget;
+        boot = boot(site, spec);
+        Log log = line -> ground.log.accept("pool " + spec.name() + ": " + line);
+        long seed = ground.seed ^ junctionhead.routes.Split.hash(spec.name());
+        dispatcher = new Dispatcher(ground.loop, boot, ground.module.apply(boot.settings(), seed), log);
+        upstreams = new Upstreams(ground.loop, boot, budget, dispatcher::now);
+        upstreams.shedBy(() -> upstreams.shedIdle() || ground.shedClients.getAsBoolean());
+        membership = new Membership(new TakenOut(), dispatcher::now, dispatcher::listed);
+        discovery = spec.discovery() == null ? null
+            : new Discovery(ground.loop, spec.discovery(), boot, 0, membership::listed, log);
+        dispatcher.attach(upstreams, discovery);
+    }
+
+    /** Begins to learn its list; on the loop's thread. */
+    void start() {
+        membership.listed(ListKind.PERSISTED, discovery == null ? fixed() : new Targets(0, true, List.of()));
+        if (discovery == null) {
+            membership.listed(ListKind.COMPLETE, fixed());
+        } else {
+            discovery.start();
+        }
+    }
+
+    private Targets fixed() {
+        List<Targets.Target> list = new ArrayList<>();
+        for (InetSocketAddress a : spec.upstreams()) {
+            String id = spec.name() + "/" + a.getAddress().getHostAddress() + ":" + a.getPort();
+            list.add(new Targets.Target(new Policy.Server(id, Policy.State.UP, 0, 1, -1, -1, boot.settings().zone()),
+                a));
+        }
+        return new Targets(0, true, list);
+    }
+
+    // The platform's settings with what the pool's own say; a list in the file is never asked for.
+    private static SettingsReader.Boot boot(SettingsReader.Boot site, PoolSpec spec) {
+        Policy.Settings s = site.settings();
+        Policy.Limits l = s.limits();
+        PoolSpec.Overrides o = spec.settings();
+        Policy.Limits limits = new Policy.Limits(o.maxAttempts() == null ? l.maxAttempts() : o.maxAttempts(),
+            l.mayDuplicate(), l.mayCancel(), o.probes() == null ? l.mayProbe() : o.probes(),
+            o.connectTimeout() == null ? l.connectTimeout() : o.connectTimeout(), l.retryAfterMax());
+        Policy.Settings own = new Policy.Settings(s.balancers(), s.rank(), s.zone(), s.classes(), s.tenants(),
+            s.overShareWorth(), s.goal(), s.prices(), s.worthByWork(),
+            spec.discovery() == null ? Policy.Discovery.PUSH : s.discovery(), s.reports(), s.warmKeys(), limits,
+            s.bounds(), s.tick());
+        return new SettingsReader.Boot(own, site.loadFields(), site.classes(), site.tenants(), site.zones(),
+            site.kinds(), o.idleClose() == null ? site.idleClose() : o.idleClose());
+    }
+
+    /** Whether it can go on under that spec: a pool whose list came from elsewhere in another way can't. */
+    boolean becomes(PoolSpec next) {
+        return (next.discovery() == null) == (discovery == null);
+    }
+
+    /** Goes on under another spec, and other settings of the site. */
+    void become(PoolSpec next, SettingsReader.Boot site) {
+        PoolSpec before = spec;
+        spec = next;
+        SettingsReader.Boot fresh = boot(site, next);
+        if (!fresh.equals(boot)) {
+            SettingsReader.Boot former = boot;
+            boot = fresh;
+            membership.renumber(former, fresh);
+            dispatcher.reconfigure(fresh);
+            upstreams.reconfigure(fresh);
+            if (discovery != null) {
+                discovery.reconfigure(fresh);
+            }
+        }
+        if (discovery != null) {
+            discovery.moveTo(next.discovery());
+        } else if (!before.sameSource(next)) {
+            membership.listed(ListKind.COMPLETE, fixed());
+        }
+    }
+
+    /** Takes nothing more; it ends when all it has taken has been answered. */
+    void drain(Runnable then) {
+        dispatcher.whenIdle(() -> {
+            dispatcher.retire();
+            if (discovery != null) {
+                discovery.watch(false);
+            }
+            upstreams.close();
+            then.run();
+        });
+    }
+
+    String name() {
+        return spec.name();
+    }
+
+    PoolSpec spec() {
+        return spec;
+    }
+
+    Dispatcher dispatcher() {
+        return dispatcher;
+    }
+
+    Membership membership() {
+        return membership;
+    }
+
+    PoolBudget budget() {
+        return budget;
+    }
+}
--- a/balancer/src/main/java/junctionhead/net/RequestRules.java
+++ b/balancer/src/main/java/junctionhead/net/RequestRules.java
@@ -21,6 +21,7 @@
     static final int BODY_MOST = 64 * 1024;
     static final long FLOW_MOST = 34L << 20;                // of a body that is passed on as it comes
     static final String DEADLINE = "Req-Deadline-Ms";
+    static final String TENANT = "Req-Owner";
     private static final int NAME_MOST = 256;               // characters of an id or a key
     private static final long DEADLINE_MOST = 600_000;      // ms: it is held for so long at most
     private static final long COST_MOST = 600_000_000;      // µs: a guess beyond it says nothing
@@ -100,7 +101,7 @@
         }
         String path = uri.split("[?#]", 2)[0];
         String key = path.substring(path.lastIndexOf('/') + 1);
-        int tenant = Math.max(0, boot.tenants().indexOf(headers.get("Req-Owner", "")));
+        int tenant = Math.max(0, boot.tenants().indexOf(headers.get(TENANT, "")));
         long cost = number(headers.get("Req-Cost"), -1);
         return new Order(id, request.method(), uri, endToEnd(headers), body, rest, number, tenant,
             key.isEmpty() ? null : key, left * 1000, cost > COST_MOST ? -1 : cost,
--- a/balancer/src/main/java/junctionhead/net/Targets.java
+++ b/balancer/src/main/java/junctionhead/net/Targets.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import junctionhead.policy.Policy;
+import junctionhead.wire.Endpoints;
 import junctionhead.wire.SettingsReader;
 
 /** A list of upstreams in discovery's form: all of them, or those that changed. */
@@ -40,7 +41,7 @@
                 default -> throw new IllegalArgumentException("unknown state: '" + e.get("state") + "'");
             };
             InetSocketAddress endpoint = state == Policy.State.GONE && e.get("endpoint") == null ? null
-                : address(String.valueOf(e.get("endpoint")));
+                : Endpoints.address(String.valueOf(e.get("endpoint")));
             double weight = number(e.get("capacity_hint"), 1);
             list.add(new Target(new Policy.Server(uid, state, Math.round(number(e.get("boot_ms"), 0) * 1000),
                 weight > 0 ? weight : 1, (int) number(e.get("pod_group"), -1),
@@ -78,15 +79,6 @@
         return list.stream().map(Target::server).toList();
     }
 
-    static InetSocketAddress address(String text) {
-        int colon = text.lastIndexOf(':');
-        String port = text.substring(colon + 1);
-        if (colon <= 0 || !port.matches("\\d{1,5}") || Integer.parseInt(port) > 65_535) {
-            throw new IllegalArgumentException("not address:port: '" + text + "'");
-        }
-        return Config.literal(text.substring(0, colon), Integer.parseInt(port));
-    }
-
     private static double number(Object value, double otherwise) {
         return value instanceof Number n && Double.isFinite(n.doubleValue()) ? n.doubleValue() : otherwise;
     }
--- a/balancer/src/main/java/junctionhead/net/Upstreams.java
+++ b/balancer/src/main/java/junctionhead/net/Upstreams.java
@@ -65,7 +65,7 @@
 
     private final EventLoop loop;
     private SettingsReader.Boot boot;
-    private final Descriptors descriptors;
+    private final Budget descriptors;
     private final LongSupplier clock;
     private final Bootstrap bootstrap;
     private final UnixDomainSocketAddress via;
@@ -74,12 +74,12 @@
     private final Future<?> sweep;
     private BooleanSupplier shed = this::shedIdle;
 
-    Upstreams(EventLoop loop, SettingsReader.Boot boot, Descriptors descriptors, LongSupplier clock) {
+    Upstreams(EventLoop loop, SettingsReader.Boot boot, Budget descriptors, LongSupplier clock) {
         this(loop, boot, descriptors, clock, null);
     }
 
     /** {@code via} is where all upstreams are reached, in place of their own addresses; may be null. */
-    Upstreams(EventLoop loop, SettingsReader.Boot boot, Descriptors descriptors, LongSupplier clock,
+    Upstreams(EventLoop loop, SettingsReader.Boot boot, Budget descriptors, LongSupplier clock,
             UnixDomainSocketAddress via) {
         this.via = via;
         this.loop = loop;
