--- /dev/null
+++ b/lab/src/main/java/junctionhead/lab/sockets/BalancerProcess.java
@@ -0,0 +1,148 @@
+package junctionhead.lab.sockets;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.BufferedReader;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** A real balancer in a process of its own, from its jar, before upstreams that are known from the start. */
+public final class BalancerProcess implements Closeable {
+    private static final long STOP_S = 10;
+
+    private final Process process;
+    private final InetSocketAddress address;
+    private final Path config;
+    private final List<String> log = new ArrayList<>();
+
+    /**
+     * Starts one and waits until it is ready.
+     *
+     * @param jar the balancer's jar
+     * @param upstreams id and address of each
+     * @throws IOException where it doesn't come up; the message ends with its log
+     */
+    public BalancerProcess(Path jar, Map<String, InetSocketAddress> upstreams) throws IOException {
+        config = Files.createTempFile("balancer", ".json");
+        Files.writeString(config, new ObjectMapper().writeValueAsString(config(upstreams)));
+        ProcessBuilder start = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-XX:+UseSerialGC", "-Xmx64m", "-jar", jar.toString(), "serve");
+        start.environment().put("ROUTER_CONFIG", config.toString());
+        start.environment().remove("ROUTER_OPERATOR_FILE");
+        start.environment().remove("ROUTER_INHERITED_FD");
+        start.redirectErrorStream(true);
+        process = start.start();
+        BufferedReader out = new BufferedReader(new InputStreamReader(process.getInputStream(),
+            StandardCharsets.UTF_8));
+        InetSocketAddress found = null;
+        while (found == null) {
+            String line = out.readLine();
+            if (line == null) {
+                break;
+            }
+            log.add(line);
+            int at = line.indexOf("listening on ");
+            if (at >= 0) {
+                found = new InetSocketAddress(InetAddress.getLoopbackAddress(),
+                    Integer.parseInt(line.substring(line.lastIndexOf(':') + 1)));
+            }
+        }
+        if (found == null) {
+            throw new IOException("the balancer didn't start: " + String.join("; ", log));
+        }
+        address = found;
+        Thread reader = new Thread(() -> {
+            try {
+                for (String line = out.readLine(); line != null; line = out.readLine()) {
+                    synchronized (log) {
+                        log.add(line);
+                    }
+                }
+            } catch (IOException e) {
+                Thread.currentThread().interrupt();         // it has ended
+            }
+        }, "balancer's log");
+        reader.setDaemon(true);
+        reader.start();
+        awaitReady();
+    }
+
+    private void awaitReady() throws IOException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+        while (System.nanoTime() < until) {
+            Exchange ready = Exchange.of(address, "GET /-/ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+                2_000);
+            if (ready.status() == 200) {
+                return;
+            }
+        }
+        throw new IOException("the balancer wasn't ready in time: " + String.join("; ", log()));
+    }
+
+    private static Map<String, Object> config(Map<String, InetSocketAddress> upstreams) {
+        Map<String, Object> settings = new LinkedHashMap<>();
+        settings.put("Balancers", 1);
+        settings.put("Quantum", 5_000);
+        settings.put("MembershipMode", "push");
+        settings.put("Classes", List.of(
+            Map.of("Name", "seat-lookup", "Idempotency", "safe", "GoalTime", 200_000, "GiveUp", 1_000_000),
+            Map.of("Name", "book-seat", "Idempotency", "unsafe", "GoalTime", 800_000, "GiveUp", 3_000_000)));
+        settings.put("Limits", Map.of("TryLimit", 3, "MayDuplicate", false, "Cancel", true, "Probes", false,
+            "DialTimeout", 100_000));
+        settings.put("Rules", Map.of("AnswerSlack", 20_000, "DrainGrace", 1_500_000, "AskWithin", 10_000_000,
+            "ColdFrom", 0.3, "RampTime", 5_000_000, "OverloadFactor", 3.0, "Fall", 2_000_000));
+        List<Map<String, Object>> targets = new ArrayList<>();
+        upstreams.forEach((id, at) -> targets.add(Map.of("uid", id, "endpoint",
+            at.getAddress().getHostAddress() + ":" + at.getPort(), "state", "in_service")));
+        Map<String, Object> all = new LinkedHashMap<>();
+        all.put("name", "lab");
+        all.put("listen", "127.0.0.1:0");
+        all.put("discovery", "127.0.0.1:9");
+        all.put("seed", "1");
+        all.put("settings", settings);
+        all.put("known", Map.of("rev", 1, "all", true, "targets", targets));
+        return all;
+    }
+
+    /** Where it takes requests. */
+    public InetSocketAddress address() {
+        return address;
+    }
+
+    /** What it has said. */
+    public List<String> log() {
+        synchronized (log) {
+            return List.copyOf(log);
+        }
+    }
+
+    /** Whether it still runs. */
+    public boolean alive() {
+        return process.isAlive();
+    }
+
+    /** Ends it in order, and if it doesn't end, at once. */
+    @Override
+    public void close() throws IOException {
+        process.destroy();
+        try {
+            if (!process.waitFor(STOP_S, TimeUnit.SECONDS)) {
+                process.destroyForcibly();
+            }
+        } catch (InterruptedException e) {
+            process.destroyForcibly();
+            Thread.currentThread().interrupt();
+        }
+        Files.deleteIfExists(config);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/junctionhead/lab/sockets/package-info.java
@@ -0,0 +1,2 @@
+/** The laboratory on sockets: stand-ins, faults between connections and load, all on loopback. */
+package junctionhead.lab.sockets;
--- /dev/null
+++ b/lab/src/main/java/junctionhead/lab/world/LiveFleet.java
@@ -0,0 +1,116 @@
+package junctionhead.lab.world;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import junctionhead.lab.sim.Draws;
+import junctionhead.policy.Policy;
+import junctionhead.policy.Policy.Outcome;
+
+/**
+ * The upstreams of a world with its timeline, played by somebody else's clock: what answers behind real sockets is the
+ * same model as in simulated time. It has no clients and no balancers; the register's list is there to be read. Not
+ * thread-safe; times are µs since the day began.
+ */
+public final class LiveFleet {
+    /** Hears how a request ended at its upstream. */
+    @FunctionalInterface
+    public interface Replies {
+        void ended(long request, Outcome outcome);
+    }
+
+    private static final long FAR = 1L << 50;
+
+    private final World world;
+    private final Draws works;
+
+    /** Draws the world of {@code seed}; {@code replies} hears of each request's end. */
+    public LiveFleet(WorldPlan plan, long seed, Replies replies) {
+        world = new World(plan, seed, (settings, s, truth) -> {
+            throw new IllegalStateException("a live fleet has no balancers");
+        }, new Unobserved());
+        world.slots.clear();
+        world.outside = (a, outcome) -> replies.ended(a.taken().serial, outcome);
+        works = world.streams.of("live", 0, "work");
+        world.simulation.runUntil(World.BEGIN);
+        new Timeline(world).install();
+    }
+
+    /** Lets all happen that is due by then. */
+    public void advance(long micros) {
+        long to = World.BEGIN + micros;
+        if (to > world.simulation.now()) {
+            world.simulation.runUntil(to);
+        }
+    }
+
+    /** Addresses that the fleet has had so far: 0 up to this. */
+    public int addresses() {
+        return world.addressCount();
+    }
+
+    /** Whether the process at that address takes connections; one that is silent takes them and says nothing. */
+    public boolean listens(int address) {
+        Upstream u = world.upstreamAt(address);
+        return u != null && u.alive() && !u.fallen();
+    }
+
+    /** Whether it says nothing. */
+    public boolean silent(int address) {
+        Upstream u = world.upstreamAt(address);
+        return u != null && u.silent();
+    }
+
+    /** The list as the register has it now, by id, with the address of each. */
+    public Map<Policy.Server, Integer> list() {
+        Map<Policy.Server, Integer> all = new LinkedHashMap<>();
+        for (Policy.Server s : world.register.list()) {
+            all.put(s, world.addressOf(s.id()));
+        }
+        return all;
+    }
+
+    /** The address of an id; null for one that never was. */
+    public Integer addressOf(String id) {
+        return world.addressOf(id);
+    }
+
+    /** Whether the register answers. */
+    public boolean registerUp() {
+        return !world.register.isDown();
+    }
+
+    /**
+     * A whole request has come to that address.
+     *
+     * @param request the caller's number for it
+     * @param kind its class, by number
+     * @param fresh over a connection that has not been used before
+     */
+    public void accept(long request, int address, int kind, int key, boolean fresh) {
+        Upstream u = world.upstreamAt(address);
+        WorldPlan.RequestKind k = world.plan.classes().get(kind);
+        double mean = k.work().middle();
+        double work = switch (k.spread()) {
+            case EXPONENTIAL -> works.exponential(mean);
+            case LOGNORMAL -> works.lognormal(mean, k.variation().middle());
+            case PARETO -> works.pareto(mean, k.variation().middle());
+            case FIXED -> mean;
+        };
+        long now = world.simulation.now();
+        ClientRequest c = new ClientRequest(request, kind, 0, 0, key, work, now, now + FAR, false);
+        Taken t = new Taken(Long.toString(request), request, c, null, now, now + FAR);
+        Attempt a = new Attempt(t, 0, u.id, u, now);
+        u.accept(a, fresh, now);
+    }
+
+    /** Capacity of all that run at the start, in requests a second of the classes' mean work. */
+    public double perSecond() {
+        return world.nominal / world.meanWork * 1e6;
+    }
+
+    /** The day's troubles as they were drawn. */
+    public List<Timeline.Spell> spells() {
+        return world.spells();
+    }
+}
--- a/lab/src/main/java/junctionhead/lab/world/Register.java
+++ b/lab/src/main/java/junctionhead/lab/world/Register.java
@@ -77,6 +77,10 @@
         return all;
     }
 
+    boolean isDown() {
+        return down;
+    }
+
     long calls() {
         return calls;
     }
--- /dev/null
+++ b/lab/src/main/java/junctionhead/lab/world/Unobserved.java
@@ -0,0 +1,48 @@
+package junctionhead.lab.world;
+
+import java.util.List;
+import junctionhead.policy.Policy;
+
+/** Hears of everything and keeps nothing: for worlds that are judged by somebody else. */
+final class Unobserved implements Observer {
+    @Override
+    public void taken(Taken request, long now) { }
+
+    @Override
+    public void sending(Attempt attempt, long now) { }
+
+    @Override
+    public void outcome(Attempt attempt, Policy.Outcome outcome, long now) { }
+
+    @Override
+    public void answered(Taken request, Clients.End end, long retryAfter, long now) { }
+
+    @Override
+    public void answeredTwice(Taken request, Clients.End end, long now) { }
+
+    @Override
+    public void overdue(Taken request, long now) { }
+
+    @Override
+    public void told(Balancer balancer, Policy.ListKind kind, List<Policy.Server> servers, long now) { }
+
+    @Override
+    public boolean knowsStart(Balancer balancer, Upstream upstream) {
+        return true;
+    }
+
+    @Override
+    public void fell(Upstream upstream, double told, long now) { }
+
+    @Override
+    public void pressed(Upstream upstream, double part, long now) { }
+
+    @Override
+    public void malformed(Balancer balancer, String what, Taken request, long now) { }
+
+    @Override
+    public void asked(ClientRequest request, long now) { }
+
+    @Override
+    public void over(ClientRequest request, boolean served, long now) { }
+}
--- a/lab/src/main/java/junctionhead/lab/world/World.java
+++ b/lab/src/main/java/junctionhead/lab/world/World.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import junctionhead.lab.sim.Draws;
 import junctionhead.lab.sim.Simulation;
 import junctionhead.lab.sim.Streams;
@@ -57,6 +58,7 @@
     private int nextId;
     private int nextAddress;
     private List<Timeline.Spell> spells = List.of();
+    BiConsumer<Attempt, Outcome> outside;                   // hears of answers where no balancer of this world does
     private Runnable everySecond = () -> { };
 
     /** What the day cost beside what the observer saw; {@code capacity}: what the fleet does, µs of work per µs. */
@@ -163,6 +165,18 @@
         return spells;
     }
 
+    int addressCount() {
+        return nextAddress;
+    }
+
+    Upstream upstreamAt(int address) {
+        return addresses.get(address);
+    }
+
+    Integer addressOf(String id) {
+        return addressOf.get(id);
+    }
+
     int freshAddress() {
         return nextAddress++;
     }
@@ -325,6 +339,10 @@
 
     /** An upstream's word on an attempt travels back. */
     void reply(Attempt a, Upstream u, Outcome outcome, long now) {
+        if (outside != null) {
+            outside.accept(a, outcome);
+            return;
+        }
         Balancer b = a.balancer();
         if (network.cut(u.zone, b.zone)) {
             return;
--- /dev/null
+++ b/lab/src/main/java/junctionhead/lab/wreck/Lane.java
@@ -0,0 +1,161 @@
+package junctionhead.lab.wreck;
+
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import junctionhead.lab.wreck.Fault.What;
+
+/**
+ * One direction of one connection under its faults: takes bytes, gives what is to be done with them, in order. What it
+ * gives depends on the bytes alone, not on the pieces they came in, and so does its trace.
+ */
+public final class Lane {
+    private static final long GOLDEN = 0x9e3779b97f4a7c15L;
+
+    /** What is to be done next. */
+    public sealed interface Step permits Pass, Do { }
+
+    /** Bytes to be passed on. */
+    public record Pass(byte[] bytes) implements Step { }
+
+    /** Something to be done before what follows; after all but {@code PAUSE} nothing follows. */
+    public record Do(What what) implements Step { }
+
+    private final List<Fault> pending;
+    private final Framing framing;
+    private final String name;
+    private final List<String> trace = new ArrayList<>();
+    private final ByteArrayOutputStream answer = new ByteArrayOutputStream();
+    private final Fault twice;
+    private final Map<Fault, Long> starts = new HashMap<>();        // where faults behind a point that came are due
+    private long offset;
+    private boolean over;
+
+    /** The lane of that connection and direction, under those of the faults that concern it. */
+    public Lane(int connection, boolean up, List<Fault> faults) {
+        this.name = connection + (up ? " up" : " down");
+        this.framing = new Framing(!up);
+        this.pending = new ArrayList<>(faults.stream().filter(f -> f.concerns(connection) && f.up() == up
+            && f.what().compareTo(What.PIECES) < 0 && f.what() != What.REFUSE && f.what() != What.MUTE).toList());
+        this.twice = pending.stream().filter(f -> f.what() == What.TWICE).findFirst().orElse(null);
+        pending.remove(twice);
+    }
+
+    /** What has happened so far, a line each. */
+    public List<String> trace() {
+        return trace;
+    }
+
+    /** Bytes that have been passed on so far. */
+    public long bytes() {
+        return offset;
+    }
+
+    /** Whether nothing more is passed on. */
+    public boolean over() {
+        return over;
+    }
+
+    /** Takes bytes. */
+    public List<Step> take(byte[] bytes) {
+        List<Step> steps = new ArrayList<>();
+        ByteArrayOutputStream run = new ByteArrayOutputStream(bytes.length);
+        for (byte b : bytes) {
+            if (over) {
+                break;
+            }
+            Framing.Place place = framing.next(b);
+            for (Fault f : due(place, false)) {
+                strike(f, run, steps);
+            }
+            if (over) {
+                break;
+            }
+            byte out = garbled(b);
+            run.write(out);
+            offset++;
+            if (twice != null && place.message() == twice.message()) {
+                answer.write(out);
+                if (place.messageLast()) {
+                    trace.add(name + " twice at " + offset + ": " + answer.size() + " bytes again");
+                    run.writeBytes(answer.toByteArray());
+                }
+            }
+            for (Fault f : due(place, true)) {
+                strike(f, run, steps);
+            }
+        }
+        flush(run, steps);
+        return steps;
+    }
+
+    private List<Fault> due(Framing.Place place, boolean after) {
+        List<Fault> due = new ArrayList<>(1);
+        for (Fault f : pending) {
+            if (f.what() == What.GARBLE) {
+                continue;
+            }
+            if (f.point() == null) {
+                if (!after && offset == f.offset()) {
+                    due.add(f);
+                }
+                continue;
+            }
+            boolean here = place.message() == f.message() && switch (f.point()) {
+                case HEAD -> !after && place.headFirst();
+                case HEAD_LAST -> !after && place.headLast();
+                case BODY_FIRST -> !after && place.bodyFirst();
+                case BODY_LAST -> !after && place.messageLast();
+                case END -> after && place.messageLast();
+            };
+            if (here && f.offset() == 0) {
+                due.add(f);
+            } else if (here) {
+                starts.put(f, offset + f.offset());
+            } else if (!after && Long.valueOf(offset).equals(starts.get(f))) {
+                due.add(f);
+            }
+        }
+        return due;
+    }
+
+    private void strike(Fault f, ByteArrayOutputStream run, List<Step> steps) {
+        if (over) {
+            return;
+        }
+        pending.remove(f);
+        flush(run, steps);
+        trace.add(name + " " + f.what().name().toLowerCase(Locale.ROOT).replace('_', '-') + " at " + offset);
+        steps.add(new Do(f.what()));
+        over = f.what() != What.PAUSE;
+    }
+
+    private static void flush(ByteArrayOutputStream run, List<Step> steps) {
+        if (run.size() > 0) {
+            steps.add(new Pass(run.toByteArray()));
+            run.reset();
+        }
+    }
+
+    private byte garbled(byte b) {
+        for (Fault f : pending) {
+            if (f.what() == What.GARBLE && offset >= f.offset()) {
+                long z = mix(f.seed() * GOLDEN + offset);
+                if ((z >>> 11) * 0x1.0p-53 < f.amount()) {
+                    trace.add(name + " garble at " + offset);
+                    return (byte) (b ^ 1 + (int) (z & 0x7e));
+                }
+            }
+        }
+        return b;
+    }
+
+    private static long mix(long value) {
+        long z = (value ^ value >>> 30) * 0xbf58476d1ce4e5b9L;
+        z = (z ^ z >>> 27) * 0x94d049bb133111ebL;
+        return z ^ z >>> 31;
+    }
+}
