--- /dev/null
+++ b/lab/src/main/java/junctionhead/lab/cli/DemoCommand.java
@@ -0,0 +1,95 @@
+package junctionhead.lab.cli;
+
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import junctionhead.lab.experiment.Experiment;
+import junctionhead.lab.experiment.ExperimentReader;
+import junctionhead.lab.sockets.BalancerProcess;
+import junctionhead.lab.sockets.DemoPage;
+import junctionhead.lab.sockets.LiveSite;
+import junctionhead.lab.sockets.Load;
+import junctionhead.lab.sockets.SiteSettings;
+import junctionhead.lab.world.WorldPlan;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Plays an experiment's first seed on sockets: real balancers before emulated upstreams. */
+@Command(name = "demo", mixinStandardHelpOptions = true, description = "Starts a register, emulated upstreams and real"
+    + " balancers on loopback, plays load with the experiment's troubles, and ends all of it.",
+    footer = {"", "Example:", "  bin/lab demo experiments/demo.toml"})
+final class DemoCommand implements Callable<Integer> {
+    @Parameters(arity = "0..1", defaultValue = "experiments/demo.toml", paramLabel = "FILE")
+    private Path file;
+    @Option(names = "--root", defaultValue = ".", description = "the project's root, where the run line starts")
+    private Path root;
+    @Option(names = "--html", defaultValue = "lab/target/demo.html", description = "where the page goes")
+    private Path html;
+
+    private final List<BalancerProcess> balancers = new ArrayList<>();
+
+    @Override
+    public Integer call() throws Exception {
+        Experiment e = ExperimentReader.read(file);
+        WorldPlan plan = e.plan();
+        String run = new TomlMapper().readTree(Files.readString(root.resolve("deploy/balancer.toml"))).get("run")
+            .asText();
+        Thread end = new Thread(this::endAll, "end");
+        Runtime.getRuntime().addShutdownHook(end);          // also on Ctrl-C: no process stays
+        try (LiveSite site = new LiveSite(plan, e.firstSeed())) {
+            int many = Math.max(1, (int) Math.round(plan.balancers().middle()));
+            List<InetSocketAddress> entries = new ArrayList<>();
+            for (int i = 0; i < many; i++) {
+                BalancerProcess b = new BalancerProcess(List.of("bash", "-c", run), root,
+                    SiteSettings.config(plan, i, many, site));
+                balancers.add(b);
+                entries.add(b.address());
+            }
+            System.out.printf(Locale.ROOT, "%d balancers by run before %.0f requests a second of capacity; load %.0f%n",
+                many, site.perSecond(), site.perSecond() * plan.load().level().middle());
+            try (Load load = new Load(new Load.Plan(entries, site.perSecond() * plan.load().level().middle(),
+                    plan.length(), 1 + (int) plan.clients().retries().middle(),
+                    Math.max(1, (int) plan.load().keys().middle()), e.firstSeed()), plan.classes())) {
+                int[] seconds = {0};
+                load.run(() -> {
+                    if (System.console() != null) {
+                        System.err.printf("\r%3d s, %d requests", ++seconds[0], load.ended());
+                    }
+                });
+                Map<String, Integer> ledger = site.ledger();
+                DemoPage page = new DemoPage(plan, load, ledger);
+                page.table().forEach(System.out::println);
+                Files.createDirectories(html.toAbsolutePath().getParent());
+                Files.writeString(html, page.html(e.question()));
+                System.out.println("page written to " + html);
+                return page.broken().isEmpty() && balancers.stream().allMatch(BalancerProcess::alive) ? 0 : 1;
+            }
+        } finally {
+            endAll();
+            try {
+                Runtime.getRuntime().removeShutdownHook(end);
+            } catch (IllegalStateException already) {
+                System.err.println("ended early");
+            }
+        }
+    }
+
+    private synchronized void endAll() {
+        for (BalancerProcess b : balancers) {
+            try {
+                b.close();
+            } catch (IOException e) {
+                System.err.println("a balancer's file stays: " + e.getMessage());
+            }
+        }
+        balancers.clear();
+    }
+}
--- a/lab/src/main/java/junctionhead/lab/sockets/BalancerProcess.java
+++ b/lab/src/main/java/junctionhead/lab/sockets/BalancerProcess.java
@@ -33,10 +33,22 @@
      * @throws IOException where it doesn't come up; the message ends with its log
      */
     public BalancerProcess(Path jar, Map<String, InetSocketAddress> upstreams) throws IOException {
+        this(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC", "-Xmx64m",
+            "-jar", jar.toString(), "serve"), Path.of("."), config(upstreams));
+    }
+
+    /**
+     * Starts one by a command and waits until it is ready.
+     *
+     * @param command what starts it
+     * @param folder where it starts
+     * @param settings its configuration, in the form that the deployment gives it
+     * @throws IOException where it doesn't come up; the message ends with its log
+     */
+    public BalancerProcess(List<String> command, Path folder, Map<String, Object> settings) throws IOException {
         config = Files.createTempFile("balancer", ".json");
-        Files.writeString(config, new ObjectMapper().writeValueAsString(config(upstreams)));
-        ProcessBuilder start = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-XX:+UseSerialGC", "-Xmx64m", "-jar", jar.toString(), "serve");
+        Files.writeString(config, new ObjectMapper().writeValueAsString(settings));
+        ProcessBuilder start = new ProcessBuilder(command).directory(folder.toFile());
         start.environment().put("ROUTER_CONFIG", config.toString());
         start.environment().remove("ROUTER_OPERATOR_FILE");
         start.environment().remove("ROUTER_INHERITED_FD");
@@ -74,7 +86,12 @@
         }, "balancer's log");
         reader.setDaemon(true);
         reader.start();
-        awaitReady();
+        try {
+            awaitReady();
+        } catch (IOException e) {
+            close();                                        // nobody else knows of it
+            throw e;
+        }
     }
 
     private void awaitReady() throws IOException {
