End every balancer of the matrix, also when one worker can't end in order

Change: each worker ends by itself; a balancer started by the laboratory ends with the laboratory's process, also on Ctrl-C. Unused counts of the site on sockets are gone.

--- a/lab/src/main/java/junctionhead/lab/sockets/BalancerProcess.java
+++ b/lab/src/main/java/junctionhead/lab/sockets/BalancerProcess.java
@@ -54,6 +54,7 @@
         start.environment().remove("ROUTER_INHERITED_FD");
         start.redirectErrorStream(true);
         process = start.start();
+        Runtime.getRuntime().addShutdownHook(new Thread(process::destroy));     // also on Ctrl-C nothing stays
         BufferedReader out = new BufferedReader(new InputStreamReader(process.getInputStream(),
             StandardCharsets.UTF_8));
         InetSocketAddress found = null;
--- a/lab/src/main/java/junctionhead/lab/sockets/KillMatrix.java
+++ b/lab/src/main/java/junctionhead/lab/sockets/KillMatrix.java
@@ -97,9 +97,16 @@
             throw new IOException("interrupted", e);
         } finally {
             threads.shutdownNow();
-            for (Worker w : all) {
-                w.close();
-            }
+            all.forEach(KillMatrix::end);
+        }
+    }
+
+    // Each by itself: one that can't be closed must not leave the balancers of all others running.
+    private static void end(Worker w) {
+        try {
+            w.close();
+        } catch (IOException | RuntimeException e) {
+            System.err.println("a worker didn't end in order: " + e);
         }
     }
 
--- a/lab/src/main/java/junctionhead/lab/sockets/LiveSite.java
+++ b/lab/src/main/java/junctionhead/lab/sockets/LiveSite.java
@@ -60,7 +60,6 @@
     private final Map<Integer, Set<Channel>> connections = new HashMap<>();
     private final Map<Long, Open> open = new HashMap<>();
     private final Map<String, Integer> ran = new HashMap<>();
-    private final Map<String, Integer> answered = new HashMap<>();
     private final Set<Channel> watchers = new HashSet<>();
     private final ObjectMapper json = new ObjectMapper();
     private final long unixBegan = System.currentTimeMillis() * 1000;
@@ -244,7 +243,6 @@
         if (declined) {
             r.headers().set("Srv-Declined", "1");
         }
-        answered.merge(status.codeAsText().toString(), 1, Integer::sum);
         to.writeAndFlush(r);
     }
 
@@ -268,15 +266,15 @@
         if (changes.isEmpty()) {
             return;
         }
-        Map<String, Policy.Server> next1 = new LinkedHashMap<>(told);
+        Map<String, Policy.Server> listed = new LinkedHashMap<>(told);
         changes.forEach(s -> {
             if (s.state() == Policy.State.GONE) {
-                next1.remove(s.id());
+                listed.remove(s.id());
             } else {
-                next1.put(s.id(), s);
+                listed.put(s.id(), s);
             }
         });
-        told = next1;
+        told = listed;
         rev++;
         String text = text(list(changes, false));
         watchers.forEach(w -> line(w, text));
