One observer that keeps nothing, for live fleets and tests alike

Reason: the tests had the same empty observer as the live fleet, and the gateway two accessors that nobody used.

Change: the test's recorder extends Unobserved and overrides the two calls in which it differs; the accessors are gone.

Measured: HardCasesTest and GatewayTest pass.

--- a/balancer/src/main/java/junctionhead/net/Gateway.java
+++ b/balancer/src/main/java/junctionhead/net/Gateway.java
@@ -15,7 +15,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import junctionhead.front.Front;
-import junctionhead.front.FrontPlan;
 import junctionhead.logs.Log;
 import junctionhead.operator.Operator;
 import junctionhead.operator.PoolSpec;
@@ -323,10 +322,6 @@
         pools.values().forEach(p -> p.dispatcher().share(part));
     }
 
-    Operator operator() {
-        return operator;
-    }
-
     /** Pools that take nothing more and still have requests open. */
     int draining() {
         return draining.size();
@@ -364,9 +359,4 @@
             .collect(Collectors.joining()) + "; refused by the front: "
             + refusals.values().stream().mapToLong(n -> n).sum() + ", files taken over: " + (swaps + 1);
     }
-
-    /** Plan that it goes by. */
-    FrontPlan plan() {
-        return front.plan();
-    }
 }
--- a/lab/src/main/java/junctionhead/lab/world/Unobserved.java
+++ b/lab/src/main/java/junctionhead/lab/world/Unobserved.java
@@ -4,7 +4,7 @@
 import junctionhead.policy.Policy;
 
 /** Hears of everything and keeps nothing: for worlds that are judged by somebody else. */
-final class Unobserved implements Observer {
+class Unobserved implements Observer {
     @Override
     public void taken(Taken request, long now) { }
 
--- a/lab/src/test/java/junctionhead/lab/world/HardCasesTest.java
+++ b/lab/src/test/java/junctionhead/lab/world/HardCasesTest.java
@@ -203,48 +203,15 @@
     }
 
     /** Hears everything and holds nothing against anybody. */
-    private static class Recorder implements Observer {
-        @Override
-        public void taken(Taken request, long now) { }
-
-        @Override
-        public void sending(Attempt attempt, long now) { }
-
-        @Override
-        public void outcome(Attempt attempt, Policy.Outcome outcome, long now) { }
-
-        @Override
-        public void answered(Taken request, Clients.End end, long retryAfter, long now) { }
-
-        @Override
-        public void answeredTwice(Taken request, Clients.End end, long now) { }
-
-        @Override
-        public void overdue(Taken request, long now) { }
-
-        @Override
-        public void told(Balancer balancer, Policy.ListKind kind, List<Policy.Server> servers, long now) { }
-
+    private static class Recorder extends Unobserved {
         @Override
         public boolean knowsStart(Balancer balancer, Upstream upstream) {
             return false;
         }
 
-        @Override
-        public void fell(Upstream upstream, double told, long now) { }
-
-        @Override
-        public void pressed(Upstream upstream, double part, long now) { }
-
         @Override
         public void malformed(Balancer balancer, String what, Taken request, long now) {
             throw new AssertionError(what);
         }
-
-        @Override
-        public void asked(ClientRequest request, long now) { }
-
-        @Override
-        public void over(ClientRequest request, boolean served, long now) { }
     }
 }
