Open a silent watch anew before what it misses binds; start pushed sites by the agent's list

Cause: Discovery gave up a silent watch after SILENCE_MS = 7 s. By the terms what it misses counts as told after 6 s, so a second of the grace was gone before the watch was opened anew, and the connection, the queue at discovery and a failed try came on top. Ruled out: requests picked before the drain was told (Upstreams looks once more when a connection has come up), and lists that were lost (each came within the second that followed).

Change: junctionhead.telling (pure) has the clocks of the terms: how long a watch may say nothing, by the grace in the settings, so that one failed try still fits; and since when late news counts as told, so that the grace of a drain learnt late does not begin anew (silence, an ended watch, SIGHUP, the start). Lists are put together by a streaming JSON parser in place of lines: they may come indented, and half a list behind which empty lines go on is a failure. Where lists are pushed a start is ready only with the agent's list, or after 10 s without one, and a watch that ended is opened anew after 50 ms.

Tests: three of the four new ones in DiscoveryTest fail on the code before; the one on half a list guards the new framing.

--- a/balancer/src/main/java/junctionhead/net/Discovery.java
+++ b/balancer/src/main/java/junctionhead/net/Discovery.java
@@ -1,7 +1,7 @@
 package junctionhead.net;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -10,8 +10,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.LineBasedFrameDecoder;
-import io.netty.handler.codec.MessageToMessageDecoder;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -29,9 +27,11 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.LongSupplier;
 import junctionhead.logs.Log;
 import junctionhead.policy.Policy.ListKind;
 import junctionhead.policy.Policy;
+import junctionhead.telling.Telling;
 import junctionhead.wire.SettingsReader;
 
 /**
@@ -39,10 +39,9 @@
  * where lists are pushed, always.
  */
 final class Discovery {
-    private static final int LINE_MOST = 4 << 20;
     private static final int CONNECT_MS = 2_000;
-    private static final long SILENCE_MS = 7_000;   // a watch holds a line every 2 s: three are missing
-    private static final long AGAIN_MS = 500;       // after a failure, where lists are pushed
+    private static final long AGAIN_MS = 500;       // after a failed try, where lists are pushed
+    private static final long SOON_MS = 50;         // the same after a watch that worked
 
     private final EventLoop loop;
     private final Set<Call> calls = new LinkedHashSet<>();      // under way
@@ -51,12 +50,17 @@
     private final BiConsumer<ListKind, Targets> news;
     private final Log log;
     private final boolean pushed;
+    private final LongSupplier clock;
+    private final Telling telling;
     private long rev;
     private Call watch;
     private boolean wanted;                         // a watch, whether one is open or not
 
-    /** {@code news} gets each list and change; FAILED and null where a call or the watch has failed. */
-    Discovery(EventLoop loop, InetSocketAddress address, SettingsReader.Boot boot, long rev,
+    /**
+     * {@code news} gets each list and change; FAILED and null where a call or the watch has failed. {@code clock}
+     * counts µs and is the one by which drains are kept.
+     */
+    Discovery(EventLoop loop, InetSocketAddress address, SettingsReader.Boot boot, long rev, LongSupplier clock,
             BiConsumer<ListKind, Targets> news, Log log) {
         this.loop = loop;
         this.address = address;
@@ -64,11 +68,15 @@
         this.rev = rev;
         this.news = news;
         this.log = log;
+        this.clock = clock;
         this.pushed = boot.settings().discovery() == Policy.Discovery.PUSH;
+        Policy.Bounds bounds = boot.settings().bounds();
+        this.telling = new Telling(pushed, bounds.drainGrace(), bounds.askWithin());
     }
 
     /** Begins to watch unasked where lists are pushed. */
     void start() {
+        telling.unwatched(clock.getAsLong());
         if (pushed) {
             watch(true);
         }
@@ -90,6 +98,7 @@
     /** Reads lists by new settings from here on. */
     void reconfigure(SettingsReader.Boot next) {
         boot = next;
+        telling.limits(next.settings().bounds().drainGrace(), next.settings().bounds().askWithin());
     }
 
     /** Asks for the whole list once. */
@@ -108,6 +117,7 @@
         }
         address = other;
         rev = 0;
+        telling.moved(clock.getAsLong());
         for (Call call : List.copyOf(calls)) {
             call.drop();
             if (!call.watching) {
@@ -120,11 +130,13 @@
     }
 
     /** A call under way; the answer of a watch goes on until its connection ends. */
-    private final class Call extends SimpleChannelInboundHandler<ByteBuf> {
+    private final class Call extends SimpleChannelInboundHandler<HttpObject> {
         private final String uri;
         private final boolean watching;
+        private final ListReader lists = new ListReader();
         private Channel channel;
         private Future<?> silence;
+        private long heardAt;
         private boolean answered;                   // the module has had what its call was for
         private boolean over;
 
@@ -142,8 +154,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
-                        ch.pipeline().addLast(new HttpClientCodec(), new Bodies(Call.this),
-                            new LineBasedFrameDecoder(LINE_MOST), Call.this);
+                        ch.pipeline().addLast(new HttpClientCodec(), Call.this);
                     }
                 }).connect(address);
             channel = connected.channel();
@@ -174,40 +185,68 @@
 
         // Guards against a discovery that is cut off: its connection stays open and silent.
         private void heard() {
+            heardAt = clock.getAsLong();
             if (silence != null) {
                 silence.cancel(false);
             }
             silence = loop.schedule(() -> {
+                if (answered) {
+                    telling.silentSince(heardAt);
+                }
                 ended();
-            }, SILENCE_MS, TimeUnit.MILLISECONDS);
+            }, telling.patience(), TimeUnit.MICROSECONDS);
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext context, ByteBuf line) {
-            String text = line.toString(StandardCharsets.UTF_8).strip();
+        protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
+            if (part instanceof HttpResponse answer
+                    && (answer.status().code() != 200 || !answer.decoderResult().isSuccess())) {
+                ended();
+            }
             if (over) {
                 return;
             }
-            heard();
-            Targets targets;
-            if (text.isEmpty()) {
-                if (answered || !watching) {
-                    return;                         // nothing has changed
-                }
-                targets = new Targets(rev, false, List.of());
-            } else {
+            if (part instanceof HttpContent content) {
                 try {
-                    targets = Targets.parse(text, boot);
+                    read(ByteBufUtil.getBytes(content.content()));
                 } catch (IllegalArgumentException e) {
                     // A change may be lost with it: the next watch, from the last good version, brings it.
                     log.accept("discovery sent a list that can't be read: " + e.getMessage());
                     ended();
-                    return;
                 }
             }
+            if (part instanceof LastHttpContent && !over) {
+                if (lists.within()) {
+                    log.accept("discovery sent a list that can't be read: it breaks off");
+                }
+                ended();
+            }
+        }
+
+        // An empty line says that nothing has changed. Within a list it says nothing: one that was cut short must
+        // not look alive for as long as such lines come.
+        private void read(byte[] bytes) {
+            boolean blank = new String(bytes, StandardCharsets.ISO_8859_1).isBlank();
+            boolean beat = blank && bytes.length > 0 && !lists.within();
+            if (beat || !blank) {
+                heard();
+            }
+            if (beat && watching && !answered) {
+                news(new Targets(rev, false, List.of()));
+            } else {
+                lists.read(bytes, json -> {
+                    if (!over) {
+                        news(Targets.of(json, boot));
+                    }
+                });
+            }
+        }
+
+        private void news(Targets targets) {
             rev = targets.rev();
             answered = true;
-            news.accept(targets.all() ? ListKind.COMPLETE : ListKind.PARTIAL, targets);
+            ListKind kind = targets.all() ? ListKind.COMPLETE : ListKind.PARTIAL;
+            news.accept(kind, watching ? targets.told(telling.told(clock.getAsLong())) : targets);
             if (!watching) {
                 drop();
             }
@@ -223,44 +262,18 @@
                 return;
             }
             drop();
+            if (watching && answered) {
+                telling.unwatched(clock.getAsLong());
+            }
             if (!pushed) {
                 news.accept(ListKind.FAILED, null);
             } else if (watching) {
+                // One that has worked is soon opened anew: what its agent has counts as told meanwhile.
                 loop.schedule(() -> {
                     if (watch == null) {
                         watch(true);
                     }
-                }, AGAIN_MS, TimeUnit.MILLISECONDS);
-            }
-        }
-    }
-
-    /** Passes the body of a 200 answer on, and ends the call for any other. */
-    private static final class Bodies extends MessageToMessageDecoder<HttpObject> {
-        private final Call call;
-
-        Bodies(Call call) {
-            this.call = call;
-        }
-
-        @Override
-        protected void decode(ChannelHandlerContext context, HttpObject part, List<Object> out) {
-            if (part instanceof HttpResponse answer
-                    && (answer.status().code() != 200 || !answer.decoderResult().isSuccess())) {
-                context.close();
-                return;
-            }
-            if (part instanceof HttpContent content && context.channel().isActive()) {
-                if (content.content().isReadable()) {
-                    out.add(content.content().retain());
-                }
-                if (part instanceof LastHttpContent) {
-                    if (!call.watching) {           // the list may end without a line end
-                        out.add(context.alloc().buffer(1).writeByte('\n'));
-                    } else {
-                        context.close();
-                    }
-                }
+                }, answered ? SOON_MS : AGAIN_MS, TimeUnit.MILLISECONDS);
             }
         }
     }
--- a/balancer/src/main/java/junctionhead/net/Membership.java
+++ b/balancer/src/main/java/junctionhead/net/Membership.java
@@ -48,7 +48,8 @@
                 told.put(t.server().id(), t);
             }
         }
-        news.accept(kind, new Targets(rev, targets.all(), targets.list().stream().map(this::here).toList()));
+        news.accept(kind, new Targets(rev, targets.all(), targets.list().stream().map(this::here).toList(),
+            targets.toldAt()));
     }
 
     /** How many upstreams may be sent to. */
--- a/balancer/src/main/java/junctionhead/net/Node.java
+++ b/balancer/src/main/java/junctionhead/net/Node.java
@@ -37,6 +37,7 @@
     private static final long COUNT_MS = 100;       // between what two processes tell each other
     private static final int OWN_FILES = 24;        // that the other holds besides its connections
     private static final double HALF = 0.5;
+    private static final long LIST_MS = 10_000;     // that a start waits for the agent, where lists are pushed
     private static final long FLUSH_MS = 20;        // for the last answers to leave
 
     private final Log log;
@@ -86,7 +87,7 @@
         dispatcher = new Dispatcher(loop, config.boot(), policy, log);
         upstreams = new Upstreams(loop, config.boot(), descriptors, dispatcher::now);
         discovery = new Discovery(loop, config.discovery(), config.boot(), config.known().rev(),
-            this::listed, log);
+            dispatcher::now, this::listed, log);
         clients = new ClientServer(loop, config.boot(), dispatcher, descriptors, upstreams::shedIdle);
         upstreams.shedBy(clients::shed);
         dispatcher.attach(upstreams, discovery);
@@ -400,9 +401,18 @@
         return gateway;
     }
 
-    // Ready once an upstream may be sent to: what was known from before will do until discovery answers.
+    // Ready once an upstream may be sent to: what was known from before will do until discovery answers. Not where
+    // lists are pushed: what the agent has counts as told from the first moment on, so with an older list requests
+    // would go to upstreams that have left. An agent that is down is not waited for without end.
     void listed(Policy.ListKind kind, Targets targets) {
         membership.listed(kind, targets);
+        if (kind == Policy.ListKind.PERSISTED && config.boot().settings().discovery() == Policy.Discovery.PUSH) {
+            loop.schedule(() -> {
+                hasList |= membership.up() > 0;
+                readyIfSo();
+            }, LIST_MS, TimeUnit.MILLISECONDS);
+            return;
+        }
         boolean usable = kind == Policy.ListKind.COMPLETE || targets != null
             && targets.list().stream().anyMatch(t -> t.server().state() == Policy.State.UP);
         if (usable) {
--- a/balancer/src/main/java/junctionhead/net/Pool.java
+++ b/balancer/src/main/java/junctionhead/net/Pool.java
@@ -41,7 +41,8 @@
         upstreams.shedBy(() -> upstreams.shedIdle() || ground.shedClients.getAsBoolean());
         membership = new Membership(new TakenOut(), dispatcher::now, dispatcher::listed);
         discovery = spec.discovery() == null ? null
-            : new Discovery(ground.loop, spec.discovery(), boot, 0, membership::listed, log);
+            : new Discovery(ground.loop, spec.discovery(), boot, 0, dispatcher::now,
+                membership::listed, log);
         dispatcher.attach(upstreams, discovery);
     }
 
--- a/balancer/src/main/java/junctionhead/net/Targets.java
+++ b/balancer/src/main/java/junctionhead/net/Targets.java
@@ -1,7 +1,5 @@
 package junctionhead.net;
 
-import com.fasterxml.jackson.jr.ob.JSON;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -11,17 +9,21 @@
 import junctionhead.wire.Endpoints;
 import junctionhead.wire.SettingsReader;
 
-/** A list of upstreams in discovery's form: all of them, or those that changed. */
-record Targets(long rev, boolean all, List<Target> list) {
+/**
+ * A list of upstreams in discovery's form: all of them, or those that changed. {@code toldAt} is when its news counts
+ * as told at the latest, in µs; where it comes in time that is later than now, and means nothing.
+ */
+record Targets(long rev, boolean all, List<Target> list, long toldAt) {
     /** An upstream as the module knows it, and where this balancer reaches it. */
     record Target(Policy.Server server, InetSocketAddress endpoint) { }
 
-    static Targets parse(String json, SettingsReader.Boot boot) {
-        try {
-            return of(JSON.std.anyFrom(json), boot);
-        } catch (IOException e) {
-            throw new IllegalArgumentException("not JSON");
-        }
+    Targets(long rev, boolean all, List<Target> list) {
+        this(rev, all, list, Long.MAX_VALUE);
+    }
+
+    /** The same, told then. */
+    Targets told(long at) {
+        return new Targets(rev, all, list, at);
     }
 
     /** Throws IllegalArgumentException where it isn't such a list. */
--- a/balancer/src/main/java/junctionhead/net/Upstreams.java
+++ b/balancer/src/main/java/junctionhead/net/Upstreams.java
@@ -117,7 +117,8 @@
 
     // ---------------------------------------------------------------- the list
 
-    void listed(Targets targets, long now) {
+    void listed(Targets targets, long at) {
+        long now = Math.min(at, targets.toldAt());      // from when on the grace of a drain counts
         Set<String> named = new HashSet<>();
         for (Targets.Target t : targets.list()) {
             named.add(t.server().id());
--- a/balancer/src/test/java/junctionhead/net/DiscoveryTest.java
+++ b/balancer/src/test/java/junctionhead/net/DiscoveryTest.java
@@ -4,7 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 /** How the list is asked for and watched. */
 class DiscoveryTest extends NodeFixture {
@@ -36,6 +39,91 @@
         assertEquals("FAILED []", module.next());
     }
 
+    private static final String OPEN = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    /** A list may come indented, over many lines, cut anywhere. */
+    @Test
+    void aListIsReadWhereverItsLinesAndPiecesEnd() throws IOException, InterruptedException {
+        start();
+        onLoop(() -> module.actions.watch(true));
+        FakeUpstream.Got watch = discovery.next();
+        watch.raw(OPEN);
+        String indented = list(43, true, "in_service").replace(",", ",\n\n  ").replace("{", "{\r\n    ");
+        for (int i = 0; i < indented.length(); i += 7) {
+            watch.raw(chunk(indented.substring(i, Math.min(indented.length(), i + 7))));
+        }
+        assertEquals("COMPLETE [s1=UP]", module.next());
+        watch.raw(chunk("\n" + list(44, false, "terminating") + "\n" + list(45, false, "in_service")));
+        assertEquals("PARTIAL [s1=DRAINING]", module.next());
+        assertEquals("PARTIAL [s1=UP]", module.next());
+        onLoop(() -> module.actions.fetchList());
+        String half = indented.substring(0, indented.length() / 2);
+        discovery.next().answer(200, "", half);
+        assertEquals("FAILED []", module.next());
+    }
+
+    /** Empty lines go on behind half a list: they must not make it look alive. */
+    @Test
+    @Timeout(60)
+    void halfAListIsGivenUpThoughItsWatchGoesOn() throws IOException, InterruptedException {
+        start();
+        onLoop(() -> module.actions.watch(true));
+        FakeUpstream.Got watch = discovery.next();
+        watch.raw(OPEN + chunk("{\"rev\":43,\n"));
+        String told = null;
+        while (told == null) {
+            try {
+                watch.raw(chunk("\n"));
+            } catch (IOException e) {
+                told = module.next();               // the balancer has closed it
+            }
+            told = told != null ? told : module.told.poll(100, TimeUnit.MILLISECONDS);
+        }
+        assertEquals("FAILED []", told);
+    }
+
+    /**
+     * What a silent watch misses counts as told after 6 s, and the grace begins. The loop's own timers say what was
+     * first: the new watch, with the time for a failed try left, or the end of that.
+     */
+    @Test
+    @Timeout(60)
+    void aSilentWatchIsOpenedAnewBeforeWhatItMissesBinds() throws IOException, InterruptedException {
+        start();
+        onLoop(() -> module.actions.watch(true));
+        FakeUpstream.Got watch = discovery.next();
+        watch.raw(OPEN + chunk("\n"));
+        assertEquals("PARTIAL []", module.next());
+        node.loop().schedule(() -> module.told.add("two failed calls of 2 s later"), 6_000 + 1_000 - 2_500,
+            TimeUnit.MILLISECONDS);
+        assertEquals("FAILED []", module.next());
+        assertEquals("two failed calls of 2 s later", module.next());
+    }
+
+    /** Where lists are pushed a process serves by what its agent has, and drains count from its first moment on. */
+    @Test
+    @Timeout(60)
+    void whereListsArePushedAStartWaitsForTheAgentAndItsDrainsAreNotNew() throws IOException, InterruptedException {
+        start(Map.of(), 1024, "push");
+        FakeUpstream.Got watch = discovery.next();
+        assertEquals("GET /api/targets?watch=1&from=41 HTTP/1.1", watch.line());
+        try (Client client = new Client(at)) {
+            assertEquals(503, client.send("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status());
+            // Longer than the grace of 1 s, by the balancer's own timers.
+            node.loop().schedule(() -> module.told.add("the grace is over"), 1_000, TimeUnit.MILLISECONDS);
+            assertEquals("the grace is over", module.next());
+            watch.raw(OPEN + chunk(list(42, true, "terminating")));
+            assertEquals("COMPLETE [s1=DRAINING]", module.next());
+            assertEquals(200, client.send("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status());
+            client.send(SAFE);                      // the module of this test sends it all the same
+            assertEquals("NOT_SENT", module.next());
+            assertEquals(502, client.status());
+        }
+        assertEquals(0, upstream.connections());
+        watch.reset();
+        assertEquals("GET /api/targets?watch=1&from=42 HTTP/1.1", discovery.next().line());
+    }
+
     /** A new configuration names another discovery: watched at once, and the old one's end is no failure. */
     @Test
     void aNewConfigurationMovesTheWatchAndKeepsTheListAndTheRequests()
--- a/balancer/src/test/java/junctionhead/net/NodeFixture.java
+++ b/balancer/src/test/java/junctionhead/net/NodeFixture.java
@@ -228,7 +228,12 @@
     }
 
     void start(Map<String, Object> limits, int sockets) throws IOException, InterruptedException {
+        start(limits, sockets, "ask");
+    }
+
+    void start(Map<String, Object> limits, int sockets, String membership) throws IOException, InterruptedException {
         Map<String, Object> settings = settings();
+        settings.put("MembershipMode", membership);
         @SuppressWarnings("unchecked")
         Map<String, Object> all = (Map<String, Object>) settings.get("Limits");
         all.putAll(limits);
--- a/balancer/src/test/java/junctionhead/net/OperatorsTest.java
+++ b/balancer/src/test/java/junctionhead/net/OperatorsTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.jr.ob.JSON;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -65,7 +66,7 @@
         call("set-down s1\n");
         assertEquals("OWN [s1=DRAINING]", module.next());
         call("set-down s1\n");                      // once more: nothing changes
-        Targets again = Targets.parse(list(42, true, "in_service"), config(1024, settings(), 0).boot());
+        Targets again = Targets.of(JSON.std.anyFrom(list(42, true, "in_service")), config(1024, settings(), 0).boot());
         onLoop(() -> node.listed(ListKind.COMPLETE, again));
         assertEquals("COMPLETE [s1=DRAINING]", module.next());
         long before = System.currentTimeMillis() * 1000;
@@ -85,7 +86,7 @@
     void anUpstreamThatIsOutStaysKnownWhileDiscoveryHasLostIt() throws IOException, InterruptedException {
         startWithOperators();
         call("set-down s1\n");
-        Targets gone = Targets.parse("{\"rev\":42,\"all\":true,\"targets\":[]}",
+        Targets gone = Targets.of(JSON.std.anyFrom("{\"rev\":42,\"all\":true,\"targets\":[]}"),
             config(1024, settings(), 0).boot());
         onLoop(() -> node.listed(ListKind.COMPLETE, gone));
         assertTrue(call("set-down s1\n").startsWith("ACK "));
--- /dev/null
+++ b/core/src/main/java/junctionhead/telling/Telling.java
@@ -0,0 +1,76 @@
+package junctionhead.telling;
+
+/**
+ * When what discovery has to say counts as told, whether or not it has come, and how long a source that says nothing
+ * may be waited for. A drain binds from the moment at which it counts as told: a list that comes late, over a watch
+ * that had to be opened anew, does not begin the grace anew.
+ *
+ * <p>Pure: the caller brings the time. All times are in µs.
+ */
+public final class Telling {
+    /** Between the empty lines of a watch on which nothing changes (the protocol page). */
+    private static final long BEAT = 2_000_000;
+    /** From the silence of a watch on: what it misses then counts as told (the standing terms). */
+    private static final long SILENT = 6_000_000;
+    /** From a new configuration on: what the discovery that it names has to say then counts as told. */
+    private static final long MOVED = 4_000_000;
+    /** That a call may take which fails by waiting, and the pause before the next. */
+    private static final long TRY = 2_750_000;
+
+    private final boolean pushed;
+    private long grace;
+    private long askWithin;
+    private long due = Long.MAX_VALUE;              // when what has been missed counts as told
+
+    /**
+     * Where lists are pushed, what there is counts as told at once, also before a watch is open.
+     *
+     * @param grace how long after a drain was told requests may still be sent
+     * @param askWithin for how long the list of a balancer without a watch holds
+     */
+    public Telling(boolean pushed, long grace, long askWithin) {
+        this.pushed = pushed;
+        limits(grace, askWithin);
+    }
+
+    /** Goes by other settings from here on. */
+    public void limits(long newGrace, long newAskWithin) {
+        grace = newGrace;
+        askWithin = newAskWithin;
+    }
+
+    /**
+     * How long a watch may say nothing before it is opened anew. What it misses has to be here when the grace is over
+     * that began without it, also if the first try to get it fails: so the shorter the grace, the less. A beat and a
+     * half at least, for one line may be late; two and a quarter at most, for nothing is gained by waiting on.
+     */
+    public long patience() {
+        return Math.max(BEAT + BEAT / 2, Math.min(2 * BEAT + BEAT / 4, SILENT - TRY - BEAT / 4 + grace));
+    }
+
+    /** The process has started, or its watch has ended for all to see. */
+    public void unwatched(long now) {
+        miss(now + (pushed ? 0 : Math.min(askWithin, SILENT)));
+    }
+
+    /** The watch has said nothing since then. */
+    public void silentSince(long heard) {
+        miss(heard + SILENT);
+    }
+
+    /** Another discovery is to be gone by, since now. */
+    public void moved(long now) {
+        miss(now + MOVED);
+    }
+
+    private void miss(long countsAt) {
+        due = Math.min(due, countsAt);
+    }
+
+    /** A list has come over the present watch, so nothing is missed any more; returns when its news counted as told. */
+    public long told(long now) {
+        long at = Math.min(now, due);
+        due = Long.MAX_VALUE;
+        return at;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/junctionhead/telling/TellingTest.java
@@ -0,0 +1,74 @@
+package junctionhead.telling;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** When news counts as told, by the terms' figures. */
+class TellingTest {
+    private static final long SECOND = 1_000_000;
+
+    private static Telling asked(long grace) {
+        return new Telling(false, grace, 10 * SECOND);
+    }
+
+    /** One failed try of 2 s and the pause after it fit between the silence and the end of the grace. */
+    @Test
+    void aSilentWatchIsGivenUpInTimeForASecondTry() {
+        for (long grace = 0; grace <= 5 * SECOND; grace += 50_000) {
+            long patience = asked(grace).patience();
+            assertTrue(patience >= 3 * SECOND, "a line that is a second late is no silence: " + patience);
+            assertTrue(patience <= 4_500_000, "two lines are missing by then: " + patience);
+            assertTrue(patience == 3 * SECOND || patience + 2_750_000 < 6 * SECOND + grace,
+                "no second try within a grace of " + grace);
+        }
+        assertTrue(asked(600_000).patience() < asked(1_500_000).patience());
+    }
+
+    @Test
+    void whatComesInTimeIsToldAsItComes() {
+        Telling telling = asked(SECOND);
+        telling.silentSince(10 * SECOND);
+        assertEquals(14 * SECOND, telling.told(14 * SECOND));
+    }
+
+    @Test
+    void whatASilentWatchMissedCountsSixSecondsAfterItFellSilent() {
+        Telling telling = asked(SECOND);
+        telling.silentSince(10 * SECOND);
+        assertEquals(16 * SECOND, telling.told(17 * SECOND));
+        assertEquals(18 * SECOND, telling.told(18 * SECOND));   // the new watch works
+    }
+
+    @Test
+    void aNewDiscoveryIsToldOfFourSecondsAfterItsConfiguration() {
+        Telling telling = asked(SECOND);
+        telling.moved(10 * SECOND);
+        assertEquals(14 * SECOND, telling.told(15 * SECOND));
+    }
+
+    /** Neither a failed try nor a move gives what was missed before any more time. */
+    @Test
+    void theEarliestClockHolds() {
+        Telling telling = asked(SECOND);
+        telling.silentSince(10 * SECOND);
+        telling.unwatched(13 * SECOND);
+        telling.moved(14 * SECOND);
+        assertEquals(16 * SECOND, telling.told(20 * SECOND));
+    }
+
+    @Test
+    void wherePushedWhatTheAgentHasCountsWithoutAWatch() {
+        Telling telling = new Telling(true, SECOND, 0);
+        telling.unwatched(10 * SECOND);
+        assertEquals(10 * SECOND, telling.told(11 * SECOND));
+    }
+
+    @Test
+    void whereAskedAListHoldsForTheTimeThatTheSettingsGive() {
+        Telling telling = new Telling(false, SECOND, 3 * SECOND);
+        telling.unwatched(10 * SECOND);
+        assertEquals(13 * SECOND, telling.told(15 * SECOND));
+    }
+}
