Send nothing on for clients that left, nor take a late second answer; close crossings at start and exit

Read for crossings, each one forced by a test over loopback that fails on the code before: - A client that left while its request waited to be read was served: the request was handed over before the end of the connection behind it had been looked at. Reads now go on until nothing is left, and each request is served one step of the loop later (Client.next, as those sent ahead were already). - With 16 requests sent ahead reading was turned off, so Netty never reported that the client had left (Client.whole). Reading goes on; what comes beyond 16 is refused, as it was within one read. - Where the settings allow no cancelling, an attempt that waited for its connection was sent though its client had left (Dispatcher.gone): it is given up now, as nothing of it has left. - A second answer that comes late, on a connection in use again, was passed on as the answer to the next request (Upstreams.start). A connection now settles for 10 ms; a request waits for it, where no other is idle, and no connection is opened for that. - SIGHUP during the start ended the process: its handler was taken after the listener was bound. It is the first thing now, and a SIGHUP that came before the configuration could be changed is made up for. - At the end a request that was not whole was cut off, and a request that became whole in the last 20 ms was lost: what is not whole is refused by 503, and the last step looks once more for answers that are owed.

Ruled out: FIN as a mere half-close. It can't be told from a close, so a client that ends its side has left.

Also: a line that says why a start failed could be lost under load, as 20 ms were given to it (MainTest, seen once).

--- a/balancer/src/main/java/junctionhead/net/Client.java
+++ b/balancer/src/main/java/junctionhead/net/Client.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -52,7 +53,8 @@
     private Flow answering;                         // what flows of the request that is being answered
     private Runnable gone;                          // set while the module owes an answer here
     private int charged;                            // bytes of the request that is being answered
-    private boolean serving;                        // a request is being answered
+    private boolean serving;                        // a request is being answered, or about to be
+    private boolean called;                         // the first one ahead is about to be
     private boolean receiving;                      // part of a request has come in
     private boolean asked;                          // a whole request has come in at some time
     private boolean ending;                         // the last answer has been written
@@ -90,6 +92,19 @@
         channel.close();
     }
 
+    /** Whether an answer is being waited for here, or has yet to leave. */
+    boolean owes() {
+        ChannelOutboundBuffer leaving = channel.unsafe().outboundBuffer();
+        return serving && !ending || leaving != null && leaving.totalPendingWriteBytes() > 0;
+    }
+
+    /** Refuses a request that is not whole: it may become so just as the process ends, and would be lost. */
+    void giveUpPart() {
+        if (receiving && !serving && upload == null) {
+            bad(HttpResponseStatus.SERVICE_UNAVAILABLE, "stopping: trying again is harmless");
+        }
+    }
+
     /** Ends what takes too long. Guards against peers that say nothing, or a byte now and then. */
     void look(long now) {
         if (ending) {
@@ -149,11 +164,8 @@
     public void flowing(HttpRequest head, Flow body) {
         asked = true;
         upload = body;
-        if (serving || !channel.isWritable()) {
-            ahead.add(new Taken(head, new byte[0], body));
-        } else {
-            serve(new Taken(head, new byte[0], body));
-        }
+        ahead.add(new Taken(head, new byte[0], body));
+        nextIfRoom();
     }
 
     @Override
@@ -168,15 +180,20 @@
         receiving = false;
         asked = true;
         server.room().take(body.length);
-        if (ahead.size() >= AHEAD_MOST) {           // in what had been read already
+        // Whoever sends that many ahead is refused and still read: with reading turned off nobody would notice that
+        // the client leaves, and what waits here would be sent on for nobody.
+        if (ahead.size() - (called ? 1 : 0) >= AHEAD_MOST) {
             server.room().give(body.length);
             bad(HttpResponseStatus.BAD_REQUEST, "too many requests sent ahead");
-        } else if (serving || !channel.isWritable()) {
-            ahead.add(new Taken(head, body, null));
-            // Whoever sends that many ahead is not read until answers have left.
-            channel.config().setAutoRead(ahead.size() < AHEAD_MOST);
         } else {
-            serve(new Taken(head, body, null));
+            ahead.add(new Taken(head, body, null));
+            nextIfRoom();
+        }
+    }
+
+    private void nextIfRoom() {
+        if (channel.isWritable()) {
+            next();
         }
     }
 
@@ -215,9 +232,7 @@
         if (download != null) {
             download.roomChanged();
         }
-        if (channel.isWritable()) {
-            next();
-        }
+        nextIfRoom();
     }
 
     @Override
@@ -344,11 +359,14 @@
     }
 
     // Later, and not from within: a long line of requests that are answered at once would fill the stack, and
-    // keep all others waiting.
+    // keep all others waiting. Also, by then the end of the connection has been read where it came right behind the
+    // request, so that nothing is sent on for a client that left while its request waited to be read.
     private void next() {
         if (!serving && !ending && (problem != null || !ahead.isEmpty())) {
             serving = true;
+            called = true;
             channel.eventLoop().execute(() -> {
+                called = false;
                 Taken next = ahead.poll();
                 if (!channel.isActive()) {
                     return;
@@ -358,10 +376,6 @@
                 } else if (problem != null) {
                     plain(problem.status(), problem.text(), false);
                 }
-                if (!channel.config().isAutoRead()) {
-                    since = System.nanoTime();      // what had begun to come in was kept waiting here
-                    channel.config().setAutoRead(true);
-                }
             });
         }
     }
--- a/balancer/src/main/java/junctionhead/net/ClientServer.java
+++ b/balancer/src/main/java/junctionhead/net/ClientServer.java
@@ -165,6 +165,11 @@
         return clients.isEmpty();
     }
 
+    /** Whether a client has yet to get an answer, or all of one. */
+    boolean owe() {
+        return clients.stream().anyMatch(Client::owes);
+    }
+
     boolean isStopping() {
         return stopping;
     }
@@ -173,13 +178,16 @@
         return room;
     }
 
-    /** Takes no more connections and drops those that hold no request. */
+    /** Takes no more connections, drops those that hold no request, and refuses what is not whole. */
     void close() {
         if (listener != null && !shared) {
             listener.close();
         }
         long now = System.nanoTime();
         List.copyOf(clients).stream().filter(c -> c.restedFor(now) >= 0).forEach(Client::close);
+        if (!shared) {
+            List.copyOf(clients).forEach(Client::giveUpPart);
+        }
     }
 
     // ---------------------------------------------------------------- connections
--- a/balancer/src/main/java/junctionhead/net/Dispatcher.java
+++ b/balancer/src/main/java/junctionhead/net/Dispatcher.java
@@ -187,6 +187,12 @@
         if (!x.closed) {
             close(x);
             hand(now -> policy.clientGone(now, x.id, this));
+            // Where the module may not cancel: what has not begun to leave is not sent for nobody.
+            for (Attempt a : x.attempts) {
+                if (!a.ended && a.call != null && a.call.waits()) {
+                    giveUp(a, Policy.Outcome.CANCELLED);
+                }
+            }
             forget(x);
         }
     }
--- a/balancer/src/main/java/junctionhead/net/DryRun.java
+++ b/balancer/src/main/java/junctionhead/net/DryRun.java
@@ -28,7 +28,10 @@
     private DryRun() { }
 
     public static void main(String[] args) throws IOException, InterruptedException {
-        Hangup.onEach(() -> { });
+        Hangup hangup = Hangup.take();
+        if (hangup != null) {
+            hangup.onEach(() -> { });
+        }
         Node node = new Node(Config.of(Map.of(), JSON.std.mapFrom(CONFIG)), Balance::new, true, line -> { });
         node.start();
         boolean ready = node.awaitReady(TimeUnit.SECONDS.toMillis(30));
--- a/balancer/src/main/java/junctionhead/net/Hangup.java
+++ b/balancer/src/main/java/junctionhead/net/Hangup.java
@@ -9,13 +9,17 @@
  * carries is reached by its name, as the compiler warns of each direct use.
  */
 final class Hangup {
+    private Runnable action;                        // null until the process can go by another configuration
+    private boolean missed;
+
     private Hangup() { }
 
-    /** Runs {@code action} at each SIGHUP, on a thread of its own; false where the platform has none. */
-    static boolean onEach(Runnable action) {
+    /** Takes each SIGHUP from here on; null where the platform has none. */
+    static Hangup take() {
+        Hangup hangup = new Hangup();
         InvocationHandler handler = (proxy, method, arguments) -> switch (method.getName()) {
             case "handle" -> {
-                action.run();
+                hangup.came();
                 yield null;
             }
             case "equals" -> proxy == arguments[0];
@@ -28,9 +32,24 @@
             Object proxy = Proxy.newProxyInstance(type.getClassLoader(), new Class<?>[] {type}, handler);
             signal.getMethod("handle", signal, type)
                 .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), proxy);
-            return true;
+            return hangup;
         } catch (ReflectiveOperationException e) {
-            return false;
+            return null;
+        }
+    }
+
+    private synchronized void came() {
+        missed = action == null;
+        if (action != null) {
+            action.run();
+        }
+    }
+
+    /** Runs {@code then} at each SIGHUP, on a thread of its own, and at once where one has come already. */
+    synchronized void onEach(Runnable then) {
+        action = then;
+        if (missed) {
+            came();
         }
     }
 }
--- a/balancer/src/main/java/junctionhead/net/Node.java
+++ b/balancer/src/main/java/junctionhead/net/Node.java
@@ -38,6 +38,7 @@
     private static final int OWN_FILES = 24;        // that the other holds besides its connections
     private static final double HALF = 0.5;
     private static final long LIST_MS = 10_000;     // that a start waits for the agent, where lists are pushed
+    private static final long SAY_MS = 2_000;       // for the line that says why it can't start
     private static final long FLUSH_MS = 20;        // for the last answers to leave
 
     private final Log log;
@@ -60,6 +61,7 @@
     private final BiFunction<Policy.Settings, Long, Policy> module;
     private Gateway gateway;                        // only where there is an operator file; the loop's
     private boolean hasList;
+    private boolean patient = true;                 // a stop waits for clients
     private boolean rehearsed;
 
     /**
@@ -201,14 +203,15 @@
 
     /** Runs a balancer until it is told to stop; returns only if it can't start. */
     public static int serve(Map<String, String> environment) {
+        Hangup hangup = Hangup.take();          // first of all: until then it ends the process
         Provider.install();
         Log log = Log.to(LoggerFactory.getLogger("junctionhead"));
-        int code = serve(environment, log);
-        Provider.sink().drain(FLUSH_MS);
+        int code = serve(environment, hangup, log);
+        Provider.sink().drain(SAY_MS);
         return code;
     }
 
-    private static int serve(Map<String, String> environment, Log log) {
+    private static int serve(Map<String, String> environment, Hangup hangup, Log log) {
         Node node;
         InetSocketAddress at;
         try {
@@ -245,13 +248,15 @@
             // Without this the exit code would tell of the signal, not of the orderly end.
             Runtime.getRuntime().halt(0);
         }));
-        if (!Hangup.onEach(() -> {
-            node.reload(() -> Config.again(environment));
-            if (operatorFile != null) {
-                node.operate(operatorFile, true);
-            }
-        })) {
+        if (hangup == null) {
             log.accept("no SIGHUP here: a new configuration needs a restart");
+        } else {
+            hangup.onEach(() -> {
+                node.reload(() -> Config.again(environment));
+                if (operatorFile != null) {
+                    node.operate(operatorFile, true);
+                }
+            });
         }
         // Said only now: whoever reads it may send the signals at once.
         log.accept("listening on " + at.getAddress().getHostAddress() + ":" + at.getPort());
@@ -439,7 +444,9 @@
         loop.schedule(() -> {
             clients.close();
             admin.close();
-            loop.schedule(this::end, PARTIAL_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(() -> {
+                patient = false;
+            }, PARTIAL_MS, TimeUnit.MILLISECONDS);
             endWhenEmpty();
         }, LINGER_MS, TimeUnit.MILLISECONDS);
         await();
@@ -448,18 +455,12 @@
     }
 
     // Where a successor serves already, connections that hold a request, whole or in part, are seen to their
-    // end. Where none does, each moment until the exit is one in which nobody serves.
+    // end. Where none does, each moment until the exit is one in which nobody serves: only answers are waited for.
+    // What has been taken is answered in any case.
     private void endWhenEmpty() {
-        if (clients.isEmpty() || platform.listener() == null) {
-            end();
-        } else {
+        boolean waits = platform.listener() == null ? clients.owe() : !clients.isEmpty();
+        if (waits && patient || clients.isStreaming()) {
             loop.schedule(this::endWhenEmpty, FLUSH_MS, TimeUnit.MILLISECONDS);
-        }
-    }
-
-    private void end() {
-        if (clients.isStreaming()) {
-            loop.schedule(this::end, FLUSH_MS, TimeUnit.MILLISECONDS);
             return;
         }
         dispatcher.whenIdle(() -> {
@@ -471,8 +472,13 @@
         });
     }
 
+    // Looks once more: a request may have become whole since, or an answer may still wait for its client.
     private void left() {
         loop.schedule(() -> {
+            if (clients.owe() && patient) {
+                endWhenEmpty();
+                return;
+            }
             link.close();
             stopped.countDown();
         }, FLUSH_MS, TimeUnit.MILLISECONDS);
--- a/balancer/src/main/java/junctionhead/net/Upstreams.java
+++ b/balancer/src/main/java/junctionhead/net/Upstreams.java
@@ -29,6 +29,7 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Future;
@@ -46,6 +47,7 @@
     private static final long DRAIN_MARGIN = 50_000; // µs before the grace is over: the clock is not shared
     private static final long FORGET = 60_000_000;  // µs after its grace that a stopped upstream is kept
     private static final int CONNECT_MS = 1_000;    // where the settings give no limit
+    private static final long SETTLE = 10_000;      // µs after an answer in which a second one may still come
 
     /** How a request to an upstream ended; {@code answer} is null where none came. */
     interface Listener {
@@ -169,19 +171,39 @@
             call.end(Outcome.NOT_SENT, null, null);
             return call;
         }
-        Connection ready = u.idle.pollLast();
-        while (ready != null && !ready.usable()) {
-            ready.close();
-            ready = u.idle.pollLast();
-        }
-        if (ready != null) {
+        Connection ready = idle(u);
+        if (ready == null) {
+            dial(u, call);
+        } else if (ready.unsettled() == 0) {
             ready.write(call);
         } else {
-            dial(u, call);
+            ready.settle(call);
         }
         return call;
     }
 
+    // The most recently used of those that have settled: so the others grow old and are closed. Where none has, the
+    // one that soon will.
+    private static Connection idle(Upstream u) {
+        Connection soonest = null;
+        for (Iterator<Connection> i = u.idle.descendingIterator(); i.hasNext();) {
+            Connection c = i.next();
+            if (!c.usable()) {
+                i.remove();
+                c.close();
+            } else if (c.unsettled() == 0) {
+                i.remove();
+                return c;
+            } else {
+                soonest = c;
+            }
+        }
+        if (soonest != null) {
+            u.idle.remove(soonest);
+        }
+        return soonest;
+    }
+
     private void dial(Upstream u, Call call) {
         if (descriptors.full() && !shed.getAsBoolean()) {
             call.end(Outcome.CONNECT_FAILED, null, null);
@@ -206,14 +228,8 @@
             if (!done.isSuccess()) {
                 connection.finish(Outcome.CONNECT_FAILED, null, null);
                 connection.channel.close();
-            } else if (connection.call == null) {
-                connection.rest();          // its attempt was given up meanwhile: the handshake is paid for
-            } else if (clock.getAsLong() >= u.stopAt) {
-                // Rule 3: the list changed while this one waited for its connection.
-                connection.finish(Outcome.NOT_SENT, null, null);
-                connection.close();
             } else {
-                connection.write(connection.call);
+                connection.begin();
             }
         });
     }
@@ -287,6 +303,11 @@
             this.listener = listener;
         }
 
+        /** Whether nothing of the request has gone to an upstream: it waits for its connection. */
+        boolean waits() {
+            return connection != null && !connection.begun;
+        }
+
         /**
          * Stops waiting and tells nobody; a connection that holds any of the request is closed.
          *
@@ -365,6 +386,34 @@
             return channel.isActive() && clock.getAsLong() - idleSince < idleMost;
         }
 
+        /** For how long, in µs, a second answer to the last request may still come. */
+        long unsettled() {
+            return Math.max(0, idleSince + SETTLE - clock.getAsLong());
+        }
+
+        // Guards against a second answer that comes some milliseconds late: with a request on the connection again it
+        // was taken for the answer to that one. The request waits, for a new connection would take no less. The second
+        // step lets the loop read what has come meanwhile, also where the loop itself was late.
+        void settle(Call next) {
+            call = next;
+            next.connection = this;
+            loop.schedule(() -> loop.schedule(this::begin, 1, TimeUnit.MILLISECONDS), unsettled(),
+                TimeUnit.MICROSECONDS);
+        }
+
+        /** Sends the request that has waited for this connection, if it is still to be sent. */
+        void begin() {
+            if (call == null) {
+                rest();                     // it was given up meanwhile: the handshake is paid for
+            } else if (clock.getAsLong() >= upstream.stopAt) {
+                // Rule 3: the list changed while it waited.
+                finish(Outcome.NOT_SENT, null, null);
+                close();
+            } else {
+                write(call);
+            }
+        }
+
         void write(Call next) {
             call = next;
             next.connection = this;
@@ -453,7 +502,7 @@
             written = false;
             idleSince = clock.getAsLong();
             // Another address now: who listens at the old one is another upstream, if any.
-            if (upstream.stopAt < Long.MAX_VALUE || !endpoint.equals(upstream.endpoint)) {
+            if (!channel.isActive() || upstream.stopAt < Long.MAX_VALUE || !endpoint.equals(upstream.endpoint)) {
                 close();
             } else {
                 upstream.idle.addLast(this);
@@ -544,6 +593,12 @@
             if (upload != null && call != null) {
                 upload.discard();
             }
+            if (call != null && active && !begun) {
+                Call waiting = call;        // nothing of it has been here
+                call = null;
+                dial(upstream, waiting);
+                return;
+            }
             finish(written ? Outcome.RESET : Outcome.CONNECT_FAILED, null, null);
         }
     }
--- a/balancer/src/test/java/junctionhead/MainTest.java
+++ b/balancer/src/test/java/junctionhead/MainTest.java
@@ -5,6 +5,8 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.io.Writer;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
@@ -129,6 +131,38 @@
         Files.delete(config);
     }
 
+    /** It comes while the process still reads its configuration, as when all are told of a new one in a release. */
+    @Test
+    void sighupDuringTheStartEndsNothingAndIsMadeUpFor() throws IOException, InterruptedException {
+        Path file = config("127.0.0.1:0");
+        String text = Files.readString(file);
+        Files.delete(file);
+        assertEquals(0, new ProcessBuilder("mkfifo", file.toString()).start().waitFor());
+        Process process = serve(file.toString());
+        try (BufferedReader err = process.errorReader(StandardCharsets.UTF_8)) {
+            try (Writer config = Files.newBufferedWriter(file)) {       // waits until it is being read
+                hangup(process);
+                config.write(text);
+            }
+            // Waits until it is read once more; without a reader it would wait for good, so the process must live.
+            process.onExit().thenRun(() -> drainTo(file));
+            Files.writeString(file, text.replace("127.0.0.1:9\"", "127.0.0.1:7\""));
+            assertEquals("junctionhead: configuration taken over: discovery at 127.0.0.1:7",
+                nextWith("configuration", err));
+            process.destroy();
+            assertEquals(0, process.waitFor());
+        }
+        Files.delete(file);
+    }
+
+    private static void drainTo(Path fifo) {
+        try {
+            Files.readString(fifo);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     private static void hangup(Process process) throws IOException, InterruptedException {
         assertEquals(0, new ProcessBuilder("sh", "-c", "kill -HUP " + process.pid()).start().waitFor());
     }
--- a/balancer/src/test/java/junctionhead/net/ClientsTest.java
+++ b/balancer/src/test/java/junctionhead/net/ClientsTest.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -233,6 +234,49 @@
         }
     }
 
+    /** Its request waits to be read, and the client leaves meanwhile: nobody is owed anything, nothing is sent on. */
+    @Test
+    void whoLeavesBeforeItsRequestIsReadIsNotServed() throws Exception {
+        start();
+        CountDownLatch held = new CountDownLatch(1);
+        onLoop(() -> {
+            try {
+                held.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        new Client(at).send(SAFE.replace("r1", "left")).close();
+        held.countDown();
+        try (Client stays = new Client(at)) {
+            stays.send(SAFE);
+            FakeUpstream.Got got = upstream.next();
+            assertEquals("r1", got.header("Req-Id"));
+            got.answer(200, "", "ok");
+            assertEquals(200, stays.status());
+        }
+        assertEquals(1, module.requests.size());
+    }
+
+    /** As many as are kept, and then the end: it is noticed while the first one is still being served. */
+    @Test
+    void whoSendsManyAheadAndLeavesIsNoticedAndNoneOfThemIsSentOn() throws IOException, InterruptedException {
+        start();
+        FakeUpstream.Got first;
+        try (Client client = new Client(at)) {
+            client.send(SAFE);
+            first = upstream.next();
+            StringBuilder ahead = new StringBuilder();
+            for (int i = 0; i < 16; i++) {
+                ahead.append(SAFE.replace("r1", "a" + i));
+            }
+            client.send(ahead.toString());
+        }
+        assertEquals("gone", module.next());
+        assertTrue(first.closedByPeer());
+        assertEquals(1, module.requests.size());
+    }
+
     /** Hundreds that connect and say nothing must not shut out those who ask. */
     @Test
     void silentConnectionsGiveWayToNewOnes() throws IOException, InterruptedException {
--- a/balancer/src/test/java/junctionhead/net/LifeCycleTest.java
+++ b/balancer/src/test/java/junctionhead/net/LifeCycleTest.java
@@ -1,6 +1,7 @@
 package junctionhead.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -83,6 +84,25 @@
         node = null;
     }
 
+    /** It could become whole just as the process ends: taken, and never answered. */
+    @Test
+    void aRequestThatIsNotWholeAtTheEndIsRefusedAndNotCutOff() throws IOException, InterruptedException {
+        start();
+        try (Client part = new Client(at)) {
+            part.send(SAFE.substring(0, 40));
+            Thread stop = new Thread(node::stop);
+            stop.start();
+            String head = part.answer();
+            assertNotNull(head, "ended without an answer");
+            assertTrue(head.startsWith("HTTP/1.1 503"), head);
+            part.send(SAFE.substring(40));
+            assertNull(part.answer());
+            stop.join();
+            node = null;
+        }
+        assertTrue(module.requests.isEmpty());
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {
         "{} | ROUTER_LISTEN is not set, and the configuration has no listen",
--- a/balancer/src/test/java/junctionhead/net/NodeFixture.java
+++ b/balancer/src/test/java/junctionhead/net/NodeFixture.java
@@ -33,6 +33,8 @@
         volatile long timeout;
         volatile boolean broken;
         volatile boolean again;
+        volatile boolean cancels = true;
+        volatile Runnable onOutcome = () -> { };
         volatile String server = "s1";
         volatile Policy.Actions actions;
 
@@ -59,6 +61,7 @@
         public void outcome(long now, String request, int attempt, Outcome outcome, long latency,
                 boolean closed, Load load, Actions out) {
             told.add(outcome + (load == null ? "" : " " + load.inFlight()) + (closed ? " closed" : ""));
+            onOutcome.run();
             if (!closed && again && outcome == Outcome.FULL) {
                 out.send(request, server, timeout);
             } else if (!closed) {
@@ -72,7 +75,9 @@
         @Override
         public void clientGone(long now, String request, Actions out) {
             told.add("gone");
-            out.cancel(request, 0);
+            if (cancels) {
+                out.cancel(request, 0);
+            }
         }
 
         @Override
--- a/balancer/src/test/java/junctionhead/net/UpstreamsTest.java
+++ b/balancer/src/test/java/junctionhead/net/UpstreamsTest.java
@@ -10,10 +10,12 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -118,6 +120,68 @@
         }
     }
 
+    /** Also where the module cancels nothing, as it must not everywhere. */
+    @Test
+    @Timeout(60)
+    void whatWaitsForItsConnectionIsGivenUpOnceItsClientHasLeft() throws IOException, InterruptedException {
+        List<Socket> fillers = new ArrayList<>();
+        module.cancels = false;
+        try (ServerSocket slow = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            while (fill(fillers, slow.getLocalPort())) {
+                assertTrue(fillers.size() < 50, "the queue never fills");
+            }
+            endpoint = "127.0.0.1:" + slow.getLocalPort();
+            start(Map.of("DialTimeout", 30_000_000), 1024);
+            try (Client client = new Client(at)) {
+                client.send(SAFE.replace("20000", "500000"));    // its time is not what ends it
+                assertEquals("0 k1 700 true", module.requests.poll(20, TimeUnit.SECONDS));
+            }
+            assertEquals("gone", module.next());
+            assertEquals("NOT_SENT closed", module.next());
+        } finally {
+            for (Socket filler : fillers) {
+                filler.close();
+            }
+        }
+    }
+
+    /** It comes when the connection has been given to the next request: it must not be taken for its answer. */
+    @Test
+    void aSecondAnswerThatComesLateIsNobodysAnswer() throws IOException, InterruptedException {
+        start();
+        CountDownLatch answered = new CountDownLatch(1);
+        CountDownLatch held = new CountDownLatch(1);
+        try (Client client = new Client(at); Client next = new Client(at)) {
+            client.send(SAFE);
+            FakeUpstream.Got got = upstream.next();
+            module.server = null;                   // the next one is held, and sent once the first is served
+            next.send(SAFE.replace("r1", "r2"));
+            assertEquals("0 k1 700 true", module.requests.poll(20, TimeUnit.SECONDS));
+            assertEquals("0 k1 700 true", module.requests.poll(20, TimeUnit.SECONDS));
+            module.onOutcome = () -> {
+                module.onOutcome = () -> { };
+                module.actions.send("2", "s1", 0);
+                answered.countDown();
+                try {
+                    held.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            };
+            got.answer(200, "", "first");
+            answered.await();
+            got.answer(200, "", "second");
+            held.countDown();
+            assertEquals(200, client.status());
+            FakeUpstream.Got other = upstream.next();
+            assertEquals("r2", other.header("Req-Id"));
+            assertEquals(2, other.connection());
+            other.answer(200, "", "its own");
+            assertEquals(200, next.status());
+            assertEquals("its own", new String(next.body, StandardCharsets.UTF_8));
+        }
+    }
+
     private static boolean fill(List<Socket> fillers, int port) throws IOException {
         Socket socket = new Socket();
         try {
