Where lists are pushed, go by the agent's list alone from the first request of a process on

Ruled out: the outage itself (all watches answered in the same moment at its end), and balancers that were not killed. Cause: Node.start told the module the old list as usable, and Telling counted the grace from a moment that comes up to a second after the process began.

Change: Membership holds the list of the configuration back until the agent has answered, and passes both on as one; nothing is left of the grace of what that first list says. A call that goes unanswered where lists are pushed is tried anew after half a grace. Nothing changes where discovery is asked.

--- a/balancer/src/main/java/junctionhead/net/Discovery.java
+++ b/balancer/src/main/java/junctionhead/net/Discovery.java
@@ -40,7 +40,7 @@
  */
 final class Discovery {
     private static final int CONNECT_MS = 2_000;
-    private static final long AGAIN_MS = 500;       // after a failed try, where lists are pushed
+    private static final long AGAIN_MS = 250;       // after a failed try, where lists are pushed
     private static final long SOON_MS = 50;         // the same after a watch that worked
 
     private final EventLoop loop;
@@ -76,7 +76,7 @@
 
     /** Begins to watch unasked where lists are pushed. */
     void start() {
-        telling.unwatched(clock.getAsLong());
+        telling.started(clock.getAsLong());
         if (pushed) {
             watch(true);
         }
@@ -194,7 +194,7 @@
                     telling.silentSince(heardAt);
                 }
                 ended();
-            }, telling.patience(), TimeUnit.MICROSECONDS);
+            }, answered ? telling.patience() : telling.answerWithin(), TimeUnit.MICROSECONDS);
         }
 
         @Override
@@ -228,10 +228,12 @@
         private void read(byte[] bytes) {
             boolean blank = new String(bytes, StandardCharsets.ISO_8859_1).isBlank();
             boolean beat = blank && bytes.length > 0 && !lists.within();
+            boolean first = beat && watching && !answered;
+            answered |= first;
             if (beat || !blank) {
                 heard();
             }
-            if (beat && watching && !answered) {
+            if (first) {
                 news(new Targets(rev, false, List.of()));
             } else {
                 lists.read(bytes, json -> {
--- a/balancer/src/main/java/junctionhead/net/Membership.java
+++ b/balancer/src/main/java/junctionhead/net/Membership.java
@@ -1,6 +1,7 @@
 package junctionhead.net;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -23,6 +24,7 @@
     private final LongSupplier clock;
     private final BiConsumer<ListKind, Targets> news;
     private long rev;
+    private boolean held;                           // what is known is too old to go by
 
     /** {@code news} gets each list and change as it holds here; null targets where discovery has failed. */
     Membership(TakenOut takenOut, LongSupplier clock, BiConsumer<ListKind, Targets> news) {
@@ -48,8 +50,37 @@
                 told.put(t.server().id(), t);
             }
         }
-        news.accept(kind, new Targets(rev, targets.all(), targets.list().stream().map(this::here).toList(),
-            targets.toldAt()));
+        if (held) {
+            release(targets.toldAt());
+        } else {
+            pass(kind, targets.all(), targets.list(), targets.toldAt());
+        }
+    }
+
+    private void pass(ListKind kind, boolean all, Collection<Targets.Target> list, long toldAt) {
+        news.accept(kind, new Targets(rev, all, list.stream().map(this::here).toList(), toldAt));
+    }
+
+    /**
+     * Begins with a list that is too old to go by: it is passed on with what discovery has to say of it, as one, or by
+     * {@link #release()}.
+     */
+    void hold(Targets old) {
+        rev = old.rev();
+        old.list().forEach(t -> told.put(t.server().id(), t));
+        held = true;
+    }
+
+    /** Goes by what is known, for want of anything newer. */
+    void release() {
+        if (held) {
+            release(Long.MAX_VALUE);
+        }
+    }
+
+    private void release(long toldAt) {
+        held = false;
+        pass(ListKind.COMPLETE, true, told.values(), toldAt);
     }
 
     /** How many upstreams may be sent to. */
--- a/balancer/src/main/java/junctionhead/net/Node.java
+++ b/balancer/src/main/java/junctionhead/net/Node.java
@@ -281,7 +281,7 @@
         }
         Channel own = via == null ? null : clients.listenAside(via);
         loop.execute(() -> {
-            listed(Policy.ListKind.PERSISTED, config.known());
+            begin();
             discovery.start();
             if (rehearsed || aside && own == null) {
                 takeOver();
@@ -300,6 +300,22 @@
         return at;
     }
 
+    // Where lists are pushed, what the agent has counts as told from the first moment on: by an older list requests
+    // would go to upstreams that have left. An agent that is down is not waited for without end.
+    private void begin() {
+        if (config.boot().settings().discovery() == Policy.Discovery.ASK) {
+            listed(Policy.ListKind.PERSISTED, config.known());
+            return;
+        }
+        membership.listed(Policy.ListKind.PERSISTED, new Targets(config.known().rev(), true, List.of()));
+        membership.hold(config.known());
+        loop.schedule(() -> {
+            membership.release();
+            hasList |= membership.up() > 0;
+            readyIfSo();
+        }, LIST_MS, TimeUnit.MILLISECONDS);
+    }
+
     private void share(double part) {
         dispatcher.share(part);
         if (gateway != null) {
@@ -406,20 +422,10 @@
         return gateway;
     }
 
-    // Ready once an upstream may be sent to: what was known from before will do until discovery answers. Not where
-    // lists are pushed: what the agent has counts as told from the first moment on, so with an older list requests
-    // would go to upstreams that have left. An agent that is down is not waited for without end.
+    // Ready once an upstream may be sent to: what was known from before will do until discovery answers.
     void listed(Policy.ListKind kind, Targets targets) {
         membership.listed(kind, targets);
-        if (kind == Policy.ListKind.PERSISTED && config.boot().settings().discovery() == Policy.Discovery.PUSH) {
-            loop.schedule(() -> {
-                hasList |= membership.up() > 0;
-                readyIfSo();
-            }, LIST_MS, TimeUnit.MILLISECONDS);
-            return;
-        }
-        boolean usable = kind == Policy.ListKind.COMPLETE || targets != null
-            && targets.list().stream().anyMatch(t -> t.server().state() == Policy.State.UP);
+        boolean usable = kind == Policy.ListKind.COMPLETE || targets != null && membership.up() > 0;
         if (usable) {
             hasList = true;
             readyIfSo();
--- a/core/src/main/java/junctionhead/telling/Telling.java
+++ b/core/src/main/java/junctionhead/telling/Telling.java
@@ -48,7 +48,27 @@
         return Math.max(BEAT + BEAT / 2, Math.min(2 * BEAT + BEAT / 4, SILENT - TRY - BEAT / 4 + grace));
     }
 
-    /** The process has started, or its watch has ended for all to see. */
+    /**
+     * How long a call may go unanswered before it is tried anew. Where lists are pushed what an agent gets when it is
+     * back counts at once, so a call that hangs must not cost more than half of a grace.
+     */
+    public long answerWithin() {
+        return pushed ? Math.max(BEAT / 4, Math.min(patience(), grace / 2)) : patience();
+    }
+
+    /**
+     * The process has started with a list that may be old. Where lists are pushed what its agent has counted as told
+     * before the process could look at a clock: no grace is left of what the first list says.
+     */
+    public void started(long now) {
+        if (pushed) {
+            miss(0);
+        } else {
+            unwatched(now);
+        }
+    }
+
+    /** The watch has ended for all to see. */
     public void unwatched(long now) {
         miss(now + (pushed ? 0 : Math.min(askWithin, SILENT)));
     }
--- a/core/src/test/java/junctionhead/telling/TellingTest.java
+++ b/core/src/test/java/junctionhead/telling/TellingTest.java
@@ -65,6 +65,23 @@
         assertEquals(10 * SECOND, telling.told(11 * SECOND));
     }
 
+    @Test
+    void wherePushedNoGraceIsLeftOfWhatAnAgentHadAtTheStart() {
+        Telling telling = new Telling(true, SECOND, 0);
+        telling.started(10 * SECOND);
+        assertEquals(0, telling.told(11 * SECOND));
+        Telling asked = asked(SECOND);
+        asked.started(10 * SECOND);
+        assertEquals(15 * SECOND, asked.told(15 * SECOND));
+    }
+
+    @Test
+    void wherePushedACallThatHangsCostsHalfAGraceAtMost() {
+        assertEquals(500_000, new Telling(true, 900_000, 0).answerWithin());
+        assertEquals(1_500_000, new Telling(true, 3 * SECOND, 0).answerWithin());
+        assertEquals(asked(900_000).patience(), asked(900_000).answerWithin());
+    }
+
     @Test
     void whereAskedAListHoldsForTheTimeThatTheSettingsGive() {
         Telling telling = new Telling(false, SECOND, 3 * SECOND);
