--- a/balancer/src/main/java/junctionhead/net/ClientServer.java
+++ b/balancer/src/main/java/junctionhead/net/ClientServer.java
@@ -25,7 +25,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import junctionhead.wire.SettingsReader;
+import junctionhead.settings.SettingsReader;
 
 /** The side to the clients: takes connections, hands requests over, and words each one's final answer. */
 final class ClientServer {
--- a/balancer/src/main/java/junctionhead/net/Config.java
+++ b/balancer/src/main/java/junctionhead/net/Config.java
@@ -14,8 +14,9 @@
 import java.util.TreeSet;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
-import junctionhead.wire.Endpoints;
-import junctionhead.wire.SettingsReader;
+import junctionhead.discovery.Targets;
+import junctionhead.settings.Endpoints;
+import junctionhead.settings.SettingsReader;
 
 /** What a balancer is told at its start, by its environment and its configuration file. */
 record Config(String name, InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress discovery,
@@ -72,7 +73,7 @@
             throw new Bad("the configuration has no settings");
         }
         Map<String, String> values = new HashMap<>();
-        flatten("", settings, values);
+        SettingsReader.flatten("", settings, values);
         SettingsReader.Boot boot =
             SettingsReader.read(values, (path, what) -> new Bad("settings: " + path + ": " + what));
         Targets known = new Targets(0, true, List.of());
@@ -174,29 +175,6 @@
         }
     }
 
-    /** The names of the simulator's wire: paths joined by dots, lists of plain values by commas. */
-    static void flatten(String path, Object value, Map<String, String> into) {
-        if (value instanceof Map<?, ?> map) {
-            map.forEach((k, v) -> flatten(path.isEmpty() ? k.toString() : path + "." + k, v, into));
-        } else if (value instanceof List<?> list) {
-            if (list.stream().anyMatch(Map.class::isInstance)) {
-                into.put(path + ".count", Integer.toString(list.size()));
-                for (int i = 0; i < list.size(); i++) {
-                    flatten(path + "." + i, list.get(i), into);
-                }
-            } else {
-                into.put(path, list.stream().map(Config::plain).collect(Collectors.joining(",")));
-            }
-        } else if (value != null) {
-            into.put(path, plain(value));
-        }
-    }
-
-    /** A value as it stands on the wire, where spaces and commas within values are replaced. */
-    static String plain(Object value) {
-        return String.valueOf(value).replace(' ', '_').replace(',', '_');
-    }
-
     /** The soft limit on descriptors, read without the management classes: they make a start longer. */
     private static int descriptors() {
         try {
--- a/balancer/src/main/java/junctionhead/net/Dispatcher.java
+++ b/balancer/src/main/java/junctionhead/net/Dispatcher.java
@@ -12,9 +12,11 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
+import junctionhead.discovery.DiscoveryClient;
+import junctionhead.discovery.Targets;
 import junctionhead.logs.Log;
 import junctionhead.policy.Policy;
-import junctionhead.wire.SettingsReader;
+import junctionhead.settings.SettingsReader;
 
 /**
  * Stands between the sockets and the module: owns the module, its clock and the table of requests and
@@ -94,7 +96,7 @@
     private final Set<String> ids = new HashSet<>();    // clients' own names of what is in the table
     private final ArrayDeque<LongConsumer> waiting = new ArrayDeque<>();
     private Upstreams upstreams;
-    private Discovery discovery;
+    private DiscoveryClient discovery;
     private boolean handing;
     private boolean retired;
     private long taken;
@@ -111,7 +113,7 @@
     }
 
     /** {@code by} may be null: a rehearsal has no discovery. */
-    void attach(Upstreams to, Discovery by) {
+    void attach(Upstreams to, DiscoveryClient by) {
         upstreams = to;
         discovery = by;
     }
--- a/balancer/src/main/java/junctionhead/net/Gateway.java
+++ b/balancer/src/main/java/junctionhead/net/Gateway.java
@@ -14,6 +14,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import junctionhead.discovery.Membership;
 import junctionhead.front.Front;
 import junctionhead.logs.Log;
 import junctionhead.operator.Operator;
@@ -21,7 +22,7 @@
 import junctionhead.policy.Policy;
 import junctionhead.routes.PathTemplate;
 import junctionhead.routes.Route;
-import junctionhead.wire.SettingsReader;
+import junctionhead.settings.SettingsReader;
 
 /**
  * The front on sockets: hands each request to the dispatcher of the pool that {@link Front} names, and refuses what
--- a/balancer/src/main/java/junctionhead/net/Inheritance.java
+++ b/balancer/src/main/java/junctionhead/net/Inheritance.java
@@ -5,7 +5,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
-import junctionhead.wire.SettingsReader;
+import junctionhead.discovery.Targets;
+import junctionhead.settings.SettingsReader;
 
 /** What a process tells the one that goes on in its place, of one pool: read strictly, or not at all. */
 record Inheritance(Set<String> out, Map<String, Long> back, Targets list, Map<String, double[]> learnt) {
--- a/balancer/src/main/java/junctionhead/net/Node.java
+++ b/balancer/src/main/java/junctionhead/net/Node.java
@@ -19,6 +19,9 @@
 import java.util.function.Supplier;
 import junctionhead.admin.AdminListener;
 import junctionhead.admin.Operations;
+import junctionhead.discovery.DiscoveryClient;
+import junctionhead.discovery.Membership;
+import junctionhead.discovery.Targets;
 import junctionhead.drain.TakenOut;
 import junctionhead.handover.InheritedListener;
 import junctionhead.handover.PeerLink;
@@ -27,7 +30,7 @@
 import junctionhead.operator.Operator;
 import junctionhead.policy.Balance;
 import junctionhead.policy.Policy;
-import junctionhead.wire.SettingsReader;
+import junctionhead.settings.SettingsReader;
 import org.slf4j.LoggerFactory;
 
 /** One real balancer: its start, its readiness and its orderly stop. */
@@ -46,7 +49,7 @@
     private final EventLoop loop = group.next();
     private final Dispatcher dispatcher;
     private final Upstreams upstreams;
-    private final Discovery discovery;
+    private final DiscoveryClient discovery;
     private final ClientServer clients;
     private final Membership membership;
     private final AdminListener admin;
@@ -88,8 +91,8 @@
         Policy policy = module.apply(config.boot().settings(), config.seed());
         dispatcher = new Dispatcher(loop, config.boot(), policy, log);
         upstreams = new Upstreams(loop, config.boot(), descriptors, dispatcher::now);
-        discovery = new Discovery(loop, config.discovery(), config.boot(), config.known().rev(),
-            dispatcher::now, this::listed, log);
+        discovery = new DiscoveryClient(loop, config.discovery(), config.boot(), config.known().rev(),
+            dispatcher::now, this::listed, log::accept);
         clients = new ClientServer(loop, config.boot(), dispatcher, descriptors, upstreams::shedIdle);
         upstreams.shedBy(clients::shed);
         dispatcher.attach(upstreams, discovery);
--- a/balancer/src/main/java/junctionhead/net/OperatorFile.java
+++ b/balancer/src/main/java/junctionhead/net/OperatorFile.java
@@ -6,7 +6,7 @@
 import junctionhead.operator.Operator;
 import junctionhead.operator.OperatorReader;
 import junctionhead.toml.Faults;
-import junctionhead.wire.SettingsReader;
+import junctionhead.settings.SettingsReader;
 
 /** Reads the operator file against the platform's configuration. Loaded only where there is such a file. */
 public final class OperatorFile {
--- a/balancer/src/main/java/junctionhead/net/Pool.java
+++ b/balancer/src/main/java/junctionhead/net/Pool.java
@@ -7,12 +7,15 @@
 import java.util.Map;
 import java.util.function.BiFunction;
 import java.util.function.BooleanSupplier;
+import junctionhead.discovery.DiscoveryClient;
+import junctionhead.discovery.Membership;
+import junctionhead.discovery.Targets;
 import junctionhead.drain.TakenOut;
 import junctionhead.logs.Log;
 import junctionhead.operator.PoolSpec;
 import junctionhead.policy.Policy.ListKind;
 import junctionhead.policy.Policy;
-import junctionhead.wire.SettingsReader;
+import junctionhead.settings.SettingsReader;
 
 /** One pool beside the platform's: a module of its own with its list, its connections and its budgets. */
 final class Pool {
@@ -24,7 +27,7 @@
     private final Dispatcher dispatcher;
     private final Upstreams upstreams;
     private final Membership membership;
-    private final Discovery discovery;
+    private final DiscoveryClient discovery;
     private final PoolBudget budget;
     private PoolSpec spec;
     private SettingsReader.Boot boot;
@@ -41,8 +44,8 @@
         upstreams.shedBy(() -> upstreams.shedIdle() || ground.shedClients.getAsBoolean());
         membership = new Membership(new TakenOut(), dispatcher::now, dispatcher::listed);
         discovery = spec.discovery() == null ? null
-            : new Discovery(ground.loop, spec.discovery(), boot, 0, dispatcher::now,
-                membership::listed, log);
+            : new DiscoveryClient(ground.loop, spec.discovery(), boot, 0, dispatcher::now,
+                membership::listed, log::accept);
         dispatcher.attach(upstreams, discovery);
     }
 
--- a/balancer/src/main/java/junctionhead/net/Rehearsal.java
+++ b/balancer/src/main/java/junctionhead/net/Rehearsal.java
@@ -10,9 +10,10 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import junctionhead.discovery.Targets;
 import junctionhead.policy.Balance;
 import junctionhead.policy.Policy;
-import junctionhead.wire.SettingsReader;
+import junctionhead.settings.SettingsReader;
 
 /**
  * Takes requests of its own through the whole path, over this node's own address, before clients come. Guards
--- a/balancer/src/main/java/junctionhead/net/RequestRules.java
+++ b/balancer/src/main/java/junctionhead/net/RequestRules.java
@@ -14,7 +14,7 @@
 import java.util.Set;
 import java.util.stream.Stream;
 import junctionhead.policy.Policy;
-import junctionhead.wire.SettingsReader;
+import junctionhead.settings.SettingsReader;
 
 /** What a request must be like to be taken, and what goes on of it. */
 final class RequestRules {
--- a/balancer/src/main/java/junctionhead/net/Upstreams.java
+++ b/balancer/src/main/java/junctionhead/net/Upstreams.java
@@ -36,10 +36,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
-import junctionhead.policy.Policy;
+import junctionhead.discovery.Targets;
 import junctionhead.policy.Policy.Outcome;
+import junctionhead.policy.Policy;
+import junctionhead.settings.SettingsReader;
 import junctionhead.wire.LoadReport;
-import junctionhead.wire.SettingsReader;
 
 /** The connections to the upstreams, one request at a time on each, and what becomes of each request. */
 final class Upstreams {
--- a/balancer/src/main/java/junctionhead/operator/OperatorReader.java
+++ b/balancer/src/main/java/junctionhead/operator/OperatorReader.java
@@ -21,7 +21,7 @@
 import junctionhead.toml.Section.Measure;
 import junctionhead.toml.Source;
 import junctionhead.toml.Units;
-import junctionhead.wire.Endpoints;
+import junctionhead.settings.Endpoints;
 
 /** Reads operator files, strictly: all faults are listed, and a file with any binds nothing. */
 public final class OperatorReader {
--- a/balancer/src/main/java/junctionhead/wire/Adapter.java
+++ b/balancer/src/main/java/junctionhead/wire/Adapter.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import junctionhead.policy.Policy;
+import junctionhead.settings.SettingsReader;
 
 /** Hosts many instances of the module and translates between them and the wire. It decides nothing. */
 public final class Adapter {
--- a/balancer/src/main/java/junctionhead/wire/WireSettings.java
+++ b/balancer/src/main/java/junctionhead/wire/WireSettings.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import junctionhead.settings.SettingsReader;
 
 /** Turns the path=value pairs of an ENLIST line into what an instance is started with. */
 final class WireSettings {
--- a/balancer/src/test/java/junctionhead/DirectionsTest.java
+++ b/balancer/src/test/java/junctionhead/DirectionsTest.java
@@ -28,7 +28,7 @@
     void thePartsBelowTheNodeDontKnowIt() {
         noClasses().that().resideInAnyPackage("junctionhead.admin..", "junctionhead.drain..",
             "junctionhead.handover..", "junctionhead.wire..", "junctionhead.operator..", "junctionhead.logs..",
-            "junctionhead.toml..").should().dependOnClassesThat()
+            "junctionhead.toml..", "junctionhead.discovery..", "junctionhead.settings..").should().dependOnClassesThat()
             .resideInAPackage("junctionhead.net..").check(ALL);
     }
 }
--- a/balancer/src/test/java/junctionhead/net/OperatorsTest.java
+++ b/balancer/src/test/java/junctionhead/net/OperatorsTest.java
@@ -16,6 +16,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import junctionhead.discovery.Targets;
 import junctionhead.policy.Policy.ListKind;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
--- a/balancer/src/main/java/junctionhead/net/Discovery.java
+++ b/discovery/src/main/java/junctionhead/discovery/DiscoveryClient.java
@@ -1,4 +1,4 @@
-package junctionhead.net;
+package junctionhead.discovery;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -27,18 +27,18 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import junctionhead.logs.Log;
 import junctionhead.policy.Policy.ListKind;
 import junctionhead.policy.Policy;
 import junctionhead.telling.Telling;
-import junctionhead.wire.SettingsReader;
+import junctionhead.settings.SettingsReader;
 
 /**
  * Asks discovery for the list and watches its changes: where discovery is asked, only as the module wishes;
  * where lists are pushed, always.
  */
-final class Discovery {
+public final class DiscoveryClient {
     private static final int CONNECT_MS = 2_000;
     private static final long AGAIN_MS = 250;       // after a failed try, where lists are pushed
     private static final long SOON_MS = 50;         // the same after a watch that worked
@@ -48,7 +48,7 @@
     private InetSocketAddress address;
     private SettingsReader.Boot boot;
     private final BiConsumer<ListKind, Targets> news;
-    private final Log log;
+    private final Consumer<String> log;
     private final boolean pushed;
     private final LongSupplier clock;
     private final Telling telling;
@@ -60,8 +60,8 @@
      * {@code news} gets each list and change; FAILED and null where a call or the watch has failed. {@code clock}
      * counts µs and is the one by which drains are kept.
      */
-    Discovery(EventLoop loop, InetSocketAddress address, SettingsReader.Boot boot, long rev, LongSupplier clock,
-            BiConsumer<ListKind, Targets> news, Log log) {
+    public DiscoveryClient(EventLoop loop, InetSocketAddress address, SettingsReader.Boot boot, long rev,
+            LongSupplier clock, BiConsumer<ListKind, Targets> news, Consumer<String> log) {
         this.loop = loop;
         this.address = address;
         this.boot = boot;
@@ -75,7 +75,7 @@
     }
 
     /** Begins to watch unasked where lists are pushed. */
-    void start() {
+    public void start() {
         telling.started(clock.getAsLong());
         if (pushed) {
             watch(true);
@@ -83,7 +83,7 @@
     }
 
     /** Subscribes to changes, in place of an earlier subscription, or ends it. */
-    void watch(boolean on) {
+    public void watch(boolean on) {
         wanted = on;
         Call earlier = watch;
         watch = on ? new Call("/api/targets?watch=1&from=" + rev, true) : null;
@@ -96,13 +96,13 @@
     }
 
     /** Reads lists by new settings from here on. */
-    void reconfigure(SettingsReader.Boot next) {
+    public void reconfigure(SettingsReader.Boot next) {
         boot = next;
         telling.limits(next.settings().bounds().drainGrace(), next.settings().bounds().askWithin());
     }
 
     /** Asks for the whole list once. */
-    void fetch() {
+    public void fetch() {
         new Call("/api/targets", false).open();
     }
 
@@ -111,7 +111,7 @@
      * meanwhile, and nobody is told of a failure, for none has happened. The whole list is asked for: another
      * discovery may count its versions in another way.
      */
-    void moveTo(InetSocketAddress other) {
+    public void moveTo(InetSocketAddress other) {
         if (other.equals(address)) {
             return;
         }
--- a/balancer/src/main/java/junctionhead/net/ListReader.java
+++ b/discovery/src/main/java/junctionhead/discovery/ListReader.java
@@ -1,4 +1,4 @@
-package junctionhead.net;
+package junctionhead.discovery;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
--- a/balancer/src/main/java/junctionhead/net/Membership.java
+++ b/discovery/src/main/java/junctionhead/discovery/Membership.java
@@ -1,4 +1,4 @@
-package junctionhead.net;
+package junctionhead.discovery;
 
 import java.util.ArrayList;
 import java.util.Collection;
@@ -12,13 +12,13 @@
 import junctionhead.drain.TakenOut;
 import junctionhead.policy.Policy;
 import junctionhead.policy.Policy.ListKind;
-import junctionhead.wire.SettingsReader;
+import junctionhead.settings.SettingsReader;
 
 /**
  * Which upstreams there are for this balancer: what discovery has told, and over it what operators have taken
  * out. All that the module and the connections hear of the list comes from here.
  */
-final class Membership {
+public final class Membership {
     private final Map<String, Targets.Target> told = new LinkedHashMap<>();    // as discovery lists them
     private final TakenOut takenOut;
     private final LongSupplier clock;
@@ -27,14 +27,14 @@
     private boolean held;                           // what is known is too old to go by
 
     /** {@code news} gets each list and change as it holds here; null targets where discovery has failed. */
-    Membership(TakenOut takenOut, LongSupplier clock, BiConsumer<ListKind, Targets> news) {
+    public Membership(TakenOut takenOut, LongSupplier clock, BiConsumer<ListKind, Targets> news) {
         this.takenOut = takenOut;
         this.clock = clock;
         this.news = news;
     }
 
     /** What discovery tells; {@code targets} is null where it has failed. */
-    void listed(ListKind kind, Targets targets) {
+    public void listed(ListKind kind, Targets targets) {
         if (targets == null) {
             news.accept(kind, null);
             return;
@@ -65,14 +65,14 @@
      * Begins with a list that is too old to go by: it is passed on with what discovery has to say of it, as one, or by
      * {@link #release()}.
      */
-    void hold(Targets old) {
+    public void hold(Targets old) {
         rev = old.rev();
         old.list().forEach(t -> told.put(t.server().id(), t));
         held = true;
     }
 
     /** Goes by what is known, for want of anything newer. */
-    void release() {
+    public void release() {
         if (held) {
             release(Long.MAX_VALUE);
         }
@@ -84,7 +84,7 @@
     }
 
     /** How many upstreams may be sent to. */
-    int up() {
+    public int up() {
         int many = 0;
         for (Targets.Target t : told.values()) {
             many += t.server().state() == Policy.State.UP && !takenOut.holds(t.server().id()) ? 1 : 0;
@@ -93,7 +93,7 @@
     }
 
     /** All that discovery has told, whatever operators have taken out. */
-    Targets told() {
+    public Targets told() {
         return new Targets(rev, true, List.copyOf(told.values()));
     }
 
@@ -101,7 +101,7 @@
      * Takes over what another process of this balancer knows: its taken-out set, and its list where that is
      * the newer one. Discovery has told it to the balancer, if not to this process.
      */
-    void inherit(Set<String> out, Map<String, Long> back, Targets theirs) {
+    public void inherit(Set<String> out, Map<String, Long> back, Targets theirs) {
         takenOut.become(out, back);
         List<Targets.Target> now = new ArrayList<>();
         if (theirs.rev() >= rev) {
@@ -119,7 +119,7 @@
     }
 
     /** The numbers of zones and kinds change with the settings; their names don't. */
-    void renumber(SettingsReader.Boot before, SettingsReader.Boot next) {
+    public void renumber(SettingsReader.Boot before, SettingsReader.Boot next) {
         if (before.zones().equals(next.zones()) && before.kinds().equals(next.kinds())) {
             return;
         }
@@ -129,7 +129,7 @@
     }
 
     /** Takes an upstream out; false where nobody knows it. */
-    boolean setDown(String id) {
+    public boolean setDown(String id) {
         if (!knows(id)) {
             return false;
         }
@@ -140,7 +140,7 @@
     }
 
     /** Puts an upstream back; false where nobody knows it. */
-    boolean setUp(String id) {
+    public boolean setUp(String id) {
         if (!knows(id)) {
             return false;
         }
@@ -156,7 +156,7 @@
     }
 
     /** What operators have taken out. */
-    TakenOut takenOut() {
+    public TakenOut takenOut() {
         return takenOut;
     }
 
--- a/balancer/src/main/java/junctionhead/net/Targets.java
+++ b/discovery/src/main/java/junctionhead/discovery/Targets.java
@@ -1,4 +1,4 @@
-package junctionhead.net;
+package junctionhead.discovery;
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -6,28 +6,28 @@
 import java.util.List;
 import java.util.Map;
 import junctionhead.policy.Policy;
-import junctionhead.wire.Endpoints;
-import junctionhead.wire.SettingsReader;
+import junctionhead.settings.Endpoints;
+import junctionhead.settings.SettingsReader;
 
 /**
  * A list of upstreams in discovery's form: all of them, or those that changed. {@code toldAt} is when its news counts
  * as told at the latest, in µs; where it comes in time that is later than now, and means nothing.
  */
-record Targets(long rev, boolean all, List<Target> list, long toldAt) {
+public record Targets(long rev, boolean all, List<Target> list, long toldAt) {
     /** An upstream as the module knows it, and where this balancer reaches it. */
-    record Target(Policy.Server server, InetSocketAddress endpoint) { }
+    public record Target(Policy.Server server, InetSocketAddress endpoint) { }
 
-    Targets(long rev, boolean all, List<Target> list) {
+    public Targets(long rev, boolean all, List<Target> list) {
         this(rev, all, list, Long.MAX_VALUE);
     }
 
     /** The same, told then. */
-    Targets told(long at) {
+    public Targets told(long at) {
         return new Targets(rev, all, list, at);
     }
 
     /** Throws IllegalArgumentException where it isn't such a list. */
-    static Targets of(Object json, SettingsReader.Boot boot) {
+    public static Targets of(Object json, SettingsReader.Boot boot) {
         if (!(json instanceof Map<?, ?> map) || !(map.get("targets") instanceof List<?> entries)) {
             throw new IllegalArgumentException("no list of targets");
         }
@@ -47,15 +47,15 @@
             double weight = number(e.get("capacity_hint"), 1);
             list.add(new Target(new Policy.Server(uid, state, Math.round(number(e.get("boot_ms"), 0) * 1000),
                 weight > 0 ? weight : 1, (int) number(e.get("pod_group"), -1),
-                boot.kinds().indexOf(Config.plain(e.get("model"))),
-                boot.zones().indexOf(Config.plain(e.get("az")))), endpoint));
+                boot.kinds().indexOf(SettingsReader.plain(e.get("model"))),
+                boot.zones().indexOf(SettingsReader.plain(e.get("az")))), endpoint));
         }
         return new Targets((long) number(map.get("rev"), 0), Boolean.TRUE.equals(map.get("all")),
             List.copyOf(list));
     }
 
     /** The list in discovery's form. */
-    Map<String, Object> toJson(SettingsReader.Boot boot) {
+    public Map<String, Object> toJson(SettingsReader.Boot boot) {
         List<Map<String, Object>> entries = new ArrayList<>();
         for (Target t : list) {
             Policy.Server s = t.server();
@@ -77,7 +77,7 @@
         return Map.of("rev", rev, "all", all, "targets", entries);
     }
 
-    List<Policy.Server> servers() {
+    public List<Policy.Server> servers() {
         return list.stream().map(Target::server).toList();
     }
 
--- a/balancer/src/main/java/junctionhead/wire/Endpoints.java
+++ b/discovery/src/main/java/junctionhead/settings/Endpoints.java
@@ -1,4 +1,4 @@
-package junctionhead.wire;
+package junctionhead.settings;
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
--- a/balancer/src/main/java/junctionhead/wire/SettingsReader.java
+++ b/discovery/src/main/java/junctionhead/settings/SettingsReader.java
@@ -1,4 +1,4 @@
-package junctionhead.wire;
+package junctionhead.settings;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.BiFunction;
+import java.util.stream.Collectors;
 import junctionhead.policy.Policy;
 import junctionhead.policy.Policy.Settings;
 
@@ -47,6 +48,29 @@
         }
     }
 
+    /** The names of the simulator's wire: paths joined by dots, lists of plain values by commas. */
+    public static void flatten(String path, Object value, Map<String, String> into) {
+        if (value instanceof Map<?, ?> map) {
+            map.forEach((k, v) -> flatten(path.isEmpty() ? k.toString() : path + "." + k, v, into));
+        } else if (value instanceof List<?> list) {
+            if (list.stream().anyMatch(Map.class::isInstance)) {
+                into.put(path + ".count", Integer.toString(list.size()));
+                for (int i = 0; i < list.size(); i++) {
+                    flatten(path + "." + i, list.get(i), into);
+                }
+            } else {
+                into.put(path, list.stream().map(SettingsReader::plain).collect(Collectors.joining(",")));
+            }
+        } else if (value != null) {
+            into.put(path, plain(value));
+        }
+    }
+
+    /** A value as it stands on the wire, where spaces and commas within values are replaced. */
+    public static String plain(Object value) {
+        return String.valueOf(value).replace(' ', '_').replace(',', '_');
+    }
+
     private List<String> list(String path) {
         String value = text(path, "");
         return value.isEmpty() ? List.of() : List.of(value.split(","));
