--- a/lab/src/main/java/junctionhead/lab/sockets/BalancerProcess.java
+++ b/lab/src/main/java/junctionhead/lab/sockets/BalancerProcess.java
@@ -46,12 +46,24 @@
      * @throws IOException where it doesn't come up; the message ends with its log
      */
     public BalancerProcess(List<String> command, Path folder, Map<String, Object> settings) throws IOException {
+        this(command, folder, settings, Map.of());
+    }
+
+    /**
+     * The same with further variables, such as {@code ROUTER_OPERATOR_FILE}.
+     *
+     * @param environment variables beside those of this process
+     * @throws IOException where it doesn't come up; the message ends with its log
+     */
+    public BalancerProcess(List<String> command, Path folder, Map<String, Object> settings,
+            Map<String, String> environment) throws IOException {
         config = Files.createTempFile("balancer", ".json");
         Files.writeString(config, new ObjectMapper().writeValueAsString(settings));
         ProcessBuilder start = new ProcessBuilder(command).directory(folder.toFile());
         start.environment().put("ROUTER_CONFIG", config.toString());
         start.environment().remove("ROUTER_OPERATOR_FILE");
         start.environment().remove("ROUTER_INHERITED_FD");
+        start.environment().putAll(environment);
         start.redirectErrorStream(true);
         process = start.start();
         Runtime.getRuntime().addShutdownHook(new Thread(process::destroy));     // also on Ctrl-C nothing stays
@@ -137,6 +149,11 @@
         return address;
     }
 
+    /** Its process id: of the program itself where its command ends in {@code exec}. */
+    public long pid() {
+        return process.pid();
+    }
+
     /** What it has said. */
     public List<String> log() {
         synchronized (log) {
