Take SIGHUP also where the program is started under nohup, or say that it can't be

Seen: under nohup a new configuration is never taken over, and nothing says so. Cause: nohup leaves SIGHUP ignored, the JVM keeps an ignored SIGHUP ignored (SigIgn bit 0 of /proc/self/status stays set), and sun.misc.Signal.handle throws nothing: it returns SIG_IGN as the former handler, and Hangup.take (Hangup.java) dropped that value.

Looked into and excluded by a probe under sh -c "trap '' HUP; exec java ..": -Xrs (handle throws "already used by VM or OS", with and without the trap), -XX:+AllowUserSignalHandlers (no change). A POSIX shell can't undo it by trap.

A process that was started otherwise says in one line at its start that SIGHUP is ignored and what to do. A thread that looks at the configuration file was not built: it would read files that nobody said are ready.

--- a/balancer/src/main/java/junctionhead/net/Hangup.java
+++ b/balancer/src/main/java/junctionhead/net/Hangup.java
@@ -7,14 +7,19 @@
  * Takes SIGHUP, by which operators say that the configuration has been replaced. Guards against the JVM's own
  * handling, which ends the process. The platform has no public interface for signals; the one that every JDK
  * carries is reached by its name, as the compiler warns of each direct use.
+ *
+ * <p>A process that was started with SIGHUP ignored, as nohup does, never gets it: the JVM leaves it ignored, and
+ * says so only by the former handler that it returns. No flag of the JVM changes that, so the {@code run} line of the
+ * deploy file undoes it before the JVM starts.
  */
 final class Hangup {
     private Runnable action;                        // null until the process can go by another configuration
     private boolean missed;
+    private String lack;
 
     private Hangup() { }
 
-    /** Takes each SIGHUP from here on; null where the platform has none. */
+    /** Takes each SIGHUP from here on. */
     static Hangup take() {
         Hangup hangup = new Hangup();
         InvocationHandler handler = (proxy, method, arguments) -> switch (method.getName()) {
@@ -30,12 +35,21 @@
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> type = Class.forName("sun.misc.SignalHandler");
             Object proxy = Proxy.newProxyInstance(type.getClassLoader(), new Class<?>[] {type}, handler);
-            signal.getMethod("handle", signal, type)
+            Object former = signal.getMethod("handle", signal, type)
                 .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), proxy);
-            return hangup;
+            if (type.getField("SIG_IGN").get(null).equals(former)) {
+                hangup.lack = "SIGHUP is ignored here, as under nohup: a new configuration needs a restart; begun with "
+                    + "'env --default-signal=HUP', as by the run line, the process takes it";
+            }
         } catch (ReflectiveOperationException e) {
-            return null;
+            hangup.lack = "no SIGHUP here: a new configuration needs a restart";
         }
+        return hangup;
+    }
+
+    /** Why none will ever come, and how settings are changed then; null where each is taken. */
+    String lack() {
+        return lack;
     }
 
     private synchronized void came() {
--- a/balancer/src/main/java/junctionhead/net/Node.java
+++ b/balancer/src/main/java/junctionhead/net/Node.java
@@ -251,16 +251,15 @@
             // Without this the exit code would tell of the signal, not of the orderly end.
             Runtime.getRuntime().halt(0);
         }));
-        if (hangup == null) {
-            log.accept("no SIGHUP here: a new configuration needs a restart");
-        } else {
-            hangup.onEach(() -> {
-                node.reload(() -> Config.again(environment));
-                if (operatorFile != null) {
-                    node.operate(operatorFile, true);
-                }
-            });
+        if (hangup.lack() != null) {
+            log.warn(hangup.lack(), "sighup", "ignored");
         }
+        hangup.onEach(() -> {
+            node.reload(() -> Config.again(environment));
+            if (operatorFile != null) {
+                node.operate(operatorFile, true);
+            }
+        });
         // Said only now: whoever reads it may send the signals at once.
         log.accept("listening on " + at.getAddress().getHostAddress() + ":" + at.getPort());
         node.await();
--- a/balancer/src/test/java/junctionhead/MainTest.java
+++ b/balancer/src/test/java/junctionhead/MainTest.java
@@ -21,6 +21,8 @@
 
 /** The program as it is started: arguments, exit codes and what goes to which stream. */
 class MainTest {
+    private static final String JAVA = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+
     private record Run(int exit, String out, String err) { }
 
     private static Run run(String input, String... arguments) throws IOException, InterruptedException {
@@ -155,6 +157,47 @@
         Files.delete(file);
     }
 
+    /** As under nohup: the JVM leaves the signal ignored, and gives no other sign of it. */
+    @Test
+    void whereSighupIsIgnoredTheProcessSaysSoAtItsStart() throws IOException, InterruptedException {
+        Path config = config("127.0.0.1:0");
+        Process process = start(config.toString(), "sh", "-c", "trap '' HUP; exec \"$0\" \"$@\"",
+            JAVA, "-cp", System.getProperty("java.class.path"), "junctionhead.Main", "serve");
+        try (BufferedReader err = process.errorReader(StandardCharsets.UTF_8)) {
+            String line = err.readLine();
+            assertTrue(line.startsWith("junctionhead: SIGHUP is ignored here, as under nohup: "), line);
+            assertTrue(err.readLine().startsWith("junctionhead: listening on "));
+            Files.writeString(config, Files.readString(config).replace("127.0.0.1:9\"", "127.0.0.1:7\""));
+            hangup(process);
+            signal("TERM", process);                    // Process.destroy would close the stream as well
+            assertEquals(null, nextWith("configuration", err));
+            assertEquals(0, process.waitFor());
+        }
+        Files.delete(config);
+    }
+
+    /** The deploy file's own line, with this test's classes in place of the jar. */
+    @Test
+    void theRunLineTakesSighupAlsoUnderNohup() throws IOException, InterruptedException {
+        String run = Files.readAllLines(Path.of("..", "deploy", "balancer.toml")).stream()
+            .filter(l -> l.startsWith("run = \"")).findFirst().orElseThrow().split("\"")[1];
+        String here = run.replaceFirst("-XX:SharedArchiveFile=\\S+", "").replaceFirst(" java ", " '" + JAVA + "' ")
+            .replaceFirst("-jar \\S+", "-cp '" + System.getProperty("java.class.path") + "' junctionhead.Main");
+        Path config = config("127.0.0.1:0");
+        Process process = start(config.toString(), "sh", "-c", "trap '' HUP; " + here);
+        try (BufferedReader err = process.errorReader(StandardCharsets.UTF_8)) {
+            String line = nextWith("junctionhead", err);
+            assertTrue(line.startsWith("junctionhead: listening on "), line);
+            Files.writeString(config, Files.readString(config).replace("127.0.0.1:9\"", "127.0.0.1:7\""));
+            hangup(process);
+            assertEquals("junctionhead: configuration taken over: discovery at 127.0.0.1:7",
+                nextWith("configuration", err));
+            process.destroy();
+            assertEquals(0, process.waitFor());
+        }
+        Files.delete(config);
+    }
+
     private static void drainTo(Path fifo) {
         try {
             Files.readString(fifo);
@@ -164,7 +207,11 @@
     }
 
     private static void hangup(Process process) throws IOException, InterruptedException {
-        assertEquals(0, new ProcessBuilder("sh", "-c", "kill -HUP " + process.pid()).start().waitFor());
+        signal("HUP", process);
+    }
+
+    private static void signal(String name, Process process) throws IOException, InterruptedException {
+        assertEquals(0, new ProcessBuilder("sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor());
     }
 
     private static String nextWith(String word, BufferedReader lines) throws IOException {
@@ -188,9 +235,11 @@
     }
 
     private static Process serve(String config) throws IOException {
-        ProcessBuilder builder = new ProcessBuilder(
-            Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
-            System.getProperty("java.class.path"), "junctionhead.Main", "serve");
+        return start(config, JAVA, "-cp", System.getProperty("java.class.path"), "junctionhead.Main", "serve");
+    }
+
+    private static Process start(String config, String... command) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().keySet().removeIf(name -> name.startsWith("ROUTER_"));
         if (!config.isEmpty()) {
             builder.environment().put("ROUTER_CONFIG", config);
