Be ready 3 to 4.5 s after a start while discovery is silent, where lists are pushed

Cause: Node.begin had one clock of 10 s (LIST_MS) both for how long nothing is sent by the configuration's list and for how long the process calls itself not ready.

Change: readiness has a clock of its own, Telling.patience (3 to 4.5 s by the grace: for so long a watch may say nothing before it counts as silent). Nothing is sent by the old list any sooner than before: what the agent had before it fell silent counts as told from the first moment of a new process, and can't be known without it. So no drain rule can break that held before. Its price is that requests which come in between wait in the module, or are refused, at a process that says it is ready.

Measured: DiscoveryTest 9 of 9; aStartIsReadySoonAlsoWhileDiscoveryIsDownAndSendsNothingByTheOldList (silent, refused) fails both ways without the change.

--- a/balancer/src/main/java/junctionhead/net/Node.java
+++ b/balancer/src/main/java/junctionhead/net/Node.java
@@ -40,7 +40,7 @@
     private static final long COUNT_MS = 100;       // between what two processes tell each other
     private static final int OWN_FILES = 24;        // that the other holds besides its connections
     private static final double HALF = 0.5;
-    private static final long LIST_MS = 10_000;     // that a start waits for the agent, where lists are pushed
+    private static final long LIST_MS = 10_000;     // that nothing is sent by an old list, where lists are pushed
     private static final long SAY_MS = 2_000;       // for the line that says why it can't start
     private static final long FLUSH_MS = 20;        // for the last answers to leave
 
@@ -303,7 +303,8 @@
     }
 
     // Where lists are pushed, what the agent has counts as told from the first moment on: by an older list requests
-    // would go to upstreams that have left. An agent that is down is not waited for without end.
+    // would go to upstreams that have left. An agent that is down is not waited for without end. Long before that the
+    // process is ready: what comes meanwhile waits in the module, or is refused in time, as where no upstream is free.
     private void begin() {
         if (config.boot().settings().discovery() == Policy.Discovery.ASK) {
             listed(Policy.ListKind.PERSISTED, config.known());
@@ -311,10 +312,15 @@
         }
         membership.listed(Policy.ListKind.PERSISTED, new Targets(config.known().rev(), true, List.of()));
         membership.hold(config.known());
+        loop.schedule(() -> {
+            if (!hasList && membership.up() > 0) {
+                log.accept("discovery is silent: ready, and nothing is sent by the old list yet");
+                hasList = true;
+                readyIfSo();
+            }
+        }, discovery.patience(), TimeUnit.MICROSECONDS);
         loop.schedule(() -> {
             membership.release();
-            hasList |= membership.up() > 0;
-            readyIfSo();
         }, LIST_MS, TimeUnit.MILLISECONDS);
     }
 
--- a/balancer/src/test/java/junctionhead/net/DiscoveryTest.java
+++ b/balancer/src/test/java/junctionhead/net/DiscoveryTest.java
@@ -8,6 +8,8 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** How the list is asked for and watched. */
 class DiscoveryTest extends NodeFixture {
@@ -139,6 +141,43 @@
         }
     }
 
+    /**
+     * Discovery is down at a start: the process is ready by the time at which a watch would count as silent, and well
+     * before the terms want it, by the loop's own timers. It goes by nothing older than what its agent has, though.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    @Timeout(60)
+    void aStartIsReadySoonAlsoWhileDiscoveryIsDownAndSendsNothingByTheOldList(boolean refused)
+            throws IOException, InterruptedException {
+        if (refused) {
+            discovery.close();
+        }
+        start(Map.of(), 1024, "push");
+        node.loop().schedule(() -> module.told.add(String.valueOf(node.operations().unreadiness())), 5,
+            TimeUnit.SECONDS);
+        assertEquals("null", module.next());        // and no list before it
+        try (Client client = new Client(at)) {
+            assertEquals(200, client.send("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status());
+            client.send(SAFE);                      // the module of this test sends it all the same
+            assertEquals("NOT_SENT", module.next());
+            assertEquals(502, client.status());
+        }
+        if (!refused) {
+            String told = null;
+            while (told == null) {                  // a call that hangs is given up for another
+                try {
+                    discovery.next().raw(OPEN + chunk(list(42, false, "terminating")));
+                    told = module.told.poll(1, TimeUnit.SECONDS);
+                } catch (IOException e) {
+                    told = null;
+                }
+            }
+            assertEquals("COMPLETE [s1=DRAINING]", told);
+        }
+        assertEquals(0, upstream.connections());
+    }
+
     /** A new configuration names another discovery: watched at once, and the old one's end is no failure. */
     @Test
     void aNewConfigurationMovesTheWatchAndKeepsTheListAndTheRequests()
--- a/discovery/src/main/java/junctionhead/discovery/DiscoveryClient.java
+++ b/discovery/src/main/java/junctionhead/discovery/DiscoveryClient.java
@@ -82,6 +82,11 @@
         }
     }
 
+    /** How long discovery may say nothing before it counts as silent, in µs. */
+    public long patience() {
+        return telling.patience();
+    }
+
     /** Subscribes to changes, in place of an earlier subscription, or ends it. */
     public void watch(boolean on) {
         wanted = on;
