Ask discovery again within 2 s however often it failed, for a change binds 6 s after its return

Seen: after calls that failed several times in a row the next came up to 6 s later, and up to 7.5 s where its first failure came late. Cause: the FAILED branch of Balance.servers doubled its pause to half of AskWithin or 8 s, half as much more by chance; the term wants a change known 6 s after discovery could be reached. Also the second pause after a watch that fell silent was up to 1.5 s, where Telling.TRY leaves 0.75 s.

Looked into and found in order: DiscoveryClient where lists are pushed (50 and 250 ms, a call that hangs is given up after half of a grace), a refused or hanging connection (2 s), a call without an answer (Telling.patience), moveTo.

Change: the longest pause is 1.3 s, half as much more or less, so that two pauses and a call between them that fails by waiting (2 s) end within 6 s. The first is 0.25 s instead of 0.5 s. The spread by chance stays.

--- a/core/src/main/java/junctionhead/policy/Balance.java
+++ b/core/src/main/java/junctionhead/policy/Balance.java
@@ -83,6 +83,11 @@
     private static final double TENANT_BURST = 1e6;     // µs of its rate that a tenant may bring at once
     private static final long TICK_MOST = 20_000;       // µs between sweeps while anything is open
     private static final long REFRESH = 100_000;        // µs between looks at all servers
+    // After a call to discovery that failed, by half as much more or less: a change counts as told 6 s after discovery
+    // can be reached again. Two pauses fit in, and between them a call that fails by waiting for 2 s.
+    private static final long ASK_PAUSE = 1_300_000;    // µs, the longest
+    private static final long ASK_FIRST = 250_000;      // µs, after a watch that worked; doubles each time
+    private static final int ASK_DOUBLINGS = 4;
     private static final double GAIN_MOST = 1e60;       // counts are brought back to scale above it
 
     private static final Comparator<Node> BY_ACCOMPLISHMENT =
@@ -1081,7 +1086,8 @@
             wakeBy(now, tick, out);
         }
         if (kind == ListKind.FAILED) {
-            long pause = Math.min(settings.bounds().askWithin() / 2, 500_000L << Math.min(4, askFailures++));
+            long pause = Math.min(Math.min(settings.bounds().askWithin() / 2, ASK_PAUSE),
+                ASK_FIRST << Math.min(ASK_DOUBLINGS, askFailures++));
             askAt = Math.min(askAt, now + pause / 2 + random.nextLong(Math.max(1, pause)));
             remark(now, "discovery failed " + askFailures + " times, asking again", out);
             return;
--- a/core/src/main/java/junctionhead/telling/Telling.java
+++ b/core/src/main/java/junctionhead/telling/Telling.java
@@ -14,7 +14,7 @@
     private static final long SILENT = 6_000_000;
     /** From a new configuration on: what the discovery that it names has to say then counts as told. */
     private static final long MOVED = 4_000_000;
-    /** That a call may take which fails by waiting, and the pause before the next. */
+    /** That a call may take which fails by waiting, and the pause before the next; that before it is in the margin. */
     private static final long TRY = 2_750_000;
 
     private final boolean pushed;
--- /dev/null
+++ b/core/src/test/java/junctionhead/policy/AskAgainTest.java
@@ -0,0 +1,78 @@
+package junctionhead.policy;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.TreeSet;
+import junctionhead.policy.Policy.Discovery;
+import junctionhead.policy.Policy.Effect;
+import junctionhead.policy.Policy.ListKind;
+import junctionhead.policy.Policy.Scope;
+import org.junit.jupiter.api.Test;
+
+/** When discovery is asked again after calls that failed: by the standing terms, however often it has failed. */
+class AskAgainTest {
+    private static final long TOLD = 6_000_000;     // after discovery can be reached again
+    private static final long WAITING = 2_000_000;  // that a call takes which fails by waiting
+    private static final long TRY = 2_750_000;      // what Telling leaves for a failed try when a watch falls silent
+    private static final long MARGIN = 500_000;
+    private static final int CALLS = 12;
+    private static final int SEEDS = 200;
+
+    /** The pauses after so many failures in a row; the first of them ends a watch that has worked. */
+    private static long[] pauses(long seed) {
+        Harness harness = new Harness(Harness.settings(20, true, Discovery.ASK, List.of(),
+            Harness.kind(Effect.SAFE, Scope.ALL)), seed);
+        harness.list(ListKind.PERSISTED, Harness.fleet(3)).list(ListKind.COMPLETE, Harness.fleet(3));
+        harness.pass(10_000_000);
+        long[] pauses = new long[CALLS];
+        for (int i = 0; i < CALLS; i++) {
+            int before = harness.watches;
+            long failed = harness.now;
+            harness.list(ListKind.FAILED, List.of());
+            while (harness.watches == before) {
+                harness.pass(1_000);
+            }
+            pauses[i] = harness.now - failed;
+        }
+        return pauses;
+    }
+
+    /** Discovery comes back just as a call has failed, and the next call fails as well, by waiting. */
+    @Test
+    void discoveryIsReachedAgainInTimeForASecondTryHoweverLongItWasDown() {
+        for (long seed = 0; seed < SEEDS; seed++) {
+            long[] pauses = pauses(seed);
+            for (int i = 1; i < CALLS; i++) {
+                long second = pauses[i - 1] + WAITING + pauses[i];
+                assertTrue(second <= TOLD, "the second try begins " + second + " us after failure " + i);
+            }
+        }
+    }
+
+    /** Telling gives a silent watch up so early that one failed try fits in before the grace is over. */
+    @Test
+    void afterAWatchThatFellSilentASecondTryFitsIntoTheTimeThatTellingLeaves() {
+        for (long seed = 0; seed < SEEDS; seed++) {
+            long[] pauses = pauses(seed);
+            long second = pauses[0] + WAITING + pauses[1];
+            assertTrue(second <= TRY + MARGIN, "the second try begins " + second + " us after the silence was noticed");
+        }
+    }
+
+    /** A fleet doesn't come all at once: its calls are spread over most of the longest pause. */
+    @Test
+    void aFleetIsSpreadAndDoesNotHammer() {
+        for (int call = 4; call < CALLS; call++) {
+            TreeSet<Long> at = new TreeSet<>();
+            double sum = 0;
+            for (long seed = 0; seed < SEEDS; seed++) {
+                long pause = pauses(seed)[call];
+                at.add(pause);
+                sum += pause;
+            }
+            assertTrue(at.last() - at.first() >= 1_000_000, "all within " + (at.last() - at.first()) + " us");
+            assertTrue(sum / SEEDS >= 1_200_000, "every " + sum / SEEDS + " us");
+        }
+    }
+}
