Read a large body on while it waits for its upstream, so that its client's leaving is noticed

A client that has sent all of a body over 64 KiB and leaves before an upstream is chosen is not noticed until the request is sent on. Cause: Flow.add paused the connection at the first byte that had no taker, so that the end behind the body was never read; the loop has no other sign of it.

What waits is copied to its size, and given back when it is passed on or dropped, also where its client leaves.

--- a/balancer/src/main/java/junctionhead/net/Client.java
+++ b/balancer/src/main/java/junctionhead/net/Client.java
@@ -136,8 +136,9 @@
         intake.drop();
         server.room().give(charged);
         charged = 0;
-        while (!ahead.isEmpty()) {
-            server.room().give(ahead.poll().body().length);
+        dropAhead();
+        if (answering != null && !answering.taken()) {
+            answering.discard();
         }
         if (download != null) {
             download.discard();
@@ -210,15 +211,23 @@
 
     /** Refuses the request that is being served, and with it all that its client sent behind it. */
     void refuse(HttpResponseStatus status, String why) {
-        while (!ahead.isEmpty()) {
-            server.room().give(ahead.poll().body().length);
-        }
+        dropAhead();
         if (problem == null) {
             readNoMore(status, why);
         }
         plain(status, why, false);
     }
 
+    private void dropAhead() {
+        while (!ahead.isEmpty()) {
+            Taken dropped = ahead.poll();
+            server.room().give(dropped.body().length);
+            if (dropped.rest() != null) {
+                dropped.rest().discard();
+            }
+        }
+    }
+
     // Guards against hundreds of requests sent at once behind a bad one: they are not even looked at.
     private void readNoMore(HttpResponseStatus status, String why) {
         asked = true;
--- a/balancer/src/main/java/junctionhead/net/Flow.java
+++ b/balancer/src/main/java/junctionhead/net/Flow.java
@@ -1,6 +1,7 @@
 package junctionhead.net;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -8,7 +9,9 @@
 
 /**
  * A body that is passed on as it comes, from the connection that brings it to one that takes it. What comes
- * before there is a taker waits here; the connection that brings it is read only while the taker has room.
+ * before there is a taker waits here; the connection that brings it is read only while the taker has room. Where there
+ * is a {@link Room} it is read for a while also before there is a taker: the end of a connection shows only behind all
+ * that came before it, and nothing is to be sent on for a client that has left.
  */
 final class Flow {
     /** The side that takes the body. */
@@ -24,8 +27,12 @@
         boolean hasRoom();
     }
 
+    private static final int HELD_MOST = 1 << 20;   // bytes that may wait for a taker
+
     private final Channel source;
     private final long length;
+    private final Room room;
+    private int held;                               // bytes that wait and are counted against the room
     private final ArrayDeque<ByteBuf> waiting = new ArrayDeque<>();
     private final List<Runnable> whenWhole = new ArrayList<>(1);
     private Sink sink;
@@ -39,8 +46,14 @@
 
     /** {@code length} is -1 where it isn't known beforehand. */
     Flow(Channel source, long length) {
+        this(source, length, null);
+    }
+
+    /** What comes before there is a taker takes some of {@code room}, which may be null. */
+    Flow(Channel source, long length, Room room) {
         this.source = source;
         this.length = length;
+        this.room = room;
     }
 
     /** The connection that brings it. */
@@ -88,14 +101,33 @@
         if (over) {
             bytes.release();
         } else if (sink == null) {
-            waiting.add(bytes);
-            pause();
+            wait(bytes);
         } else {
             sink.more(bytes);
             roomChanged();
         }
     }
 
+    // Copied, as a few bytes would keep all of the buffer that they were read into.
+    private void wait(ByteBuf bytes) {
+        int many = bytes.readableBytes();
+        if (room != null && held + many <= HELD_MOST && room.spare(many)) {
+            held += many;
+            waiting.add(Unpooled.copiedBuffer(bytes));
+            bytes.release();
+        } else {
+            waiting.add(bytes);
+            pause();
+        }
+    }
+
+    private void give() {
+        if (room != null) {
+            room.give(held);
+            held = 0;
+        }
+    }
+
     void end() {
         whole = true;
         whenWhole.forEach(Runnable::run);
@@ -126,6 +158,7 @@
         while (!waiting.isEmpty()) {
             taker.more(waiting.poll());
         }
+        give();
         if (whole) {
             over = true;
             taker.whole();
@@ -151,6 +184,7 @@
         while (!waiting.isEmpty()) {
             waiting.poll().release();
         }
+        give();
         resume();
     }
 
--- a/balancer/src/main/java/junctionhead/net/Intake.java
+++ b/balancer/src/main/java/junctionhead/net/Intake.java
@@ -102,7 +102,7 @@
         HttpRequest request = head;
         head = null;
         room.give(length);
-        flow = new Flow(context.channel(), HttpUtil.getContentLength(request, -1L));
+        flow = new Flow(context.channel(), HttpUtil.getContentLength(request, -1L), room);
         flowed = length;
         flow.add(Unpooled.wrappedBuffer(body, 0, length));
         flow(more);
--- a/balancer/src/main/java/junctionhead/net/Room.java
+++ b/balancer/src/main/java/junctionhead/net/Room.java
@@ -21,6 +21,11 @@
         return true;
     }
 
+    /** The same for what could also wait where it is: half of the room stays for what can't. */
+    boolean spare(int bytes) {
+        return held + bytes <= most / 2 && take(bytes);
+    }
+
     void give(int bytes) {
         held -= bytes;
     }
--- a/balancer/src/test/java/junctionhead/net/LargeBodiesTest.java
+++ b/balancer/src/test/java/junctionhead/net/LargeBodiesTest.java
@@ -16,6 +16,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Bodies that are not held whole: they pass through, in pieces cut anywhere. */
 class LargeBodiesTest extends NodeFixture {
@@ -100,6 +102,55 @@
         }
     }
 
+    /** Its end shows only behind all of its body. Many leave, one after the other: none keeps any of the room. */
+    @Test
+    void whoSendsALargeBodyAndLeavesBeforeItHasAnUpstreamIsNoticed() throws Exception {
+        start();
+        module.server = null;                       // none is free
+        byte[] big = noise(500_000);
+        for (int i = 1; i <= 20; i++) {
+            try (Client client = new Client(at)) {
+                client.send(postHead("Content-Length: " + big.length));
+                client.socket.getOutputStream().write(big);
+                assertEquals("2 k1 -1 false", module.requests.poll(20, TimeUnit.SECONDS));
+            }
+            assertEquals("gone", module.next());
+            String left = String.valueOf(i);
+            onLoop(() -> module.actions.send(left, "s1", 0));
+        }
+        node.loop().submit(() -> { }).awaitUninterruptibly(20_000);
+        assertEquals(0, upstream.connections());
+    }
+
+    /** It is read while it waits, or part of it, and passed on as it came. */
+    @ParameterizedTest
+    @ValueSource(ints = {500_000, MANY})
+    void aLargeBodyThatWaitedForItsUpstreamPassesThrough(int bytes) throws Exception {
+        start();
+        module.server = null;
+        byte[] big = noise(bytes);
+        try (Client client = new Client(at)) {
+            client.send(postHead("Content-Length: " + bytes));
+            CompletableFuture<Void> sending = CompletableFuture.runAsync(() -> {
+                try {
+                    client.socket.getOutputStream().write(big);
+                } catch (IOException e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            assertEquals("2 k1 -1 false", module.requests.poll(20, TimeUnit.SECONDS));
+            if (bytes < MANY) {
+                sending.get(20, TimeUnit.SECONDS);
+            }
+            onLoop(() -> module.actions.send("1", "s1", 0));
+            FakeUpstream.Got got = upstream.next();
+            assertArrayEquals(big, got.body());
+            got.answer(200, "", "ok");
+            assertEquals(200, client.status());
+            sending.get(20, TimeUnit.SECONDS);
+        }
+    }
+
     private static byte[] unchunked(InputStream in) throws IOException {
         java.io.ByteArrayOutputStream all = new java.io.ByteArrayOutputStream();
         while (true) {
