--- a/balancer/src/test/java/junctionhead/net/LongListTest.java
+++ b/balancer/src/test/java/junctionhead/net/LongListTest.java
@@ -68,7 +68,8 @@
         try (Socket socket = new Socket(operators.getAddress(), operators.getPort())) {
             socket.setSoTimeout(20_000);
             socket.getOutputStream().write((line + "\n").getBytes(StandardCharsets.UTF_8));
-            return new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8)).readLine();
+            return new BufferedReader(
+                new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8)).readLine();
         }
     }
 
@@ -110,7 +111,7 @@
         assertEquals(event.replace("COMPLETE", "PARTIAL").replace("=UP", "=DRAINING"), module.next());
     }
 
-    /** Nothing that is held may be sent to, and others may be there: another part is asked for without being told to. */
+    /** Nothing that is held may be sent to, and others may be there: another part is asked for unasked. */
     @Test
     void aBalancerWithNothingOfUseAsksForAnotherPart() throws IOException, InterruptedException {
         startBounded(longList(41, true, "in_service"));
--- a/discovery/src/main/java/junctionhead/discovery/Holding.java
+++ b/discovery/src/main/java/junctionhead/discovery/Holding.java
@@ -62,10 +62,11 @@
 
     /** Begins to gather a list; {@code whole} where it says that it names all there are. */
     Gathering<Targets.Target> gather(boolean whole) {
-        return new Gathering<>(whole && sought != null ? sought : subset, whole, most, t -> Subset.hash(t.server().id()));
+        return new Gathering<>(whole && sought != null ? sought : subset, whole, most,
+            t -> Subset.hash(t.server().id()));
     }
 
-    /** Seeks the next part of the next whole list, for nothing in this one is of use; changes bind for this one still. */
+    /** Seeks the next part in the next whole list, for nothing in this one is of use. Until then this one is held. */
     void seekNext() {
         sought = (sought == null ? subset : sought).next();
     }
--- a/discovery/src/main/java/junctionhead/discovery/Targets.java
+++ b/discovery/src/main/java/junctionhead/discovery/Targets.java
@@ -12,8 +12,8 @@
 
 /**
  * A list of upstreams in discovery's form: all of them, or those that changed. {@code toldAt} is when its news counts
- * as told at the latest, in µs; where it comes in time that is later than now, and means nothing. {@code part} says which
- * part of what discovery listed is here; null: all of it.
+ * as told at the latest, in µs; where it comes in time that is later than now, and means nothing. {@code part} says
+ * which part of what discovery listed is here; null: all of it.
  */
 public record Targets(long rev, boolean all, List<Target> list, long toldAt, Part part) {
     /** An upstream as the module knows it, and where this balancer reaches it. */
