--- a/balancer/src/main/java/junctionhead/admin/Operations.java
+++ b/balancer/src/main/java/junctionhead/admin/Operations.java
@@ -5,7 +5,7 @@
     /** Why this process can't serve at the moment; null where it is ready. */
     String unreadiness();
 
-    /** What there is to say of a process that is ready, such as that it holds only a part of the list; null: nothing. */
+    /** What there is to say of a ready process, such as that it holds only a part of the list; null: nothing. */
     String note();
 
     /** Takes an upstream out, whether or not it is out already; false where nobody knows the id. */
