Run fleets of hollow balancers before a stand-in discovery, and measure them

Need: nobody has measured how any cost grows with balancers and upstreams. Change: bin/lab fleet FILE with the axes balancers, upstreams and real_upstreams, a stand-in discovery, seeded churn, joint restart and outage. BalancerProcess tells the exit code of one that doesn't come up, and no longer asks without a pause whether it is ready.

--- /dev/null
+++ b/lab/src/main/java/junctionhead/lab/fleet/HollowBalancer.java
@@ -0,0 +1,191 @@
+package junctionhead.lab.fleet;
+
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
+import junctionhead.discovery.DiscoveryClient;
+import junctionhead.discovery.Membership;
+import junctionhead.discovery.Targets;
+import junctionhead.drain.TakenOut;
+import junctionhead.policy.Balance;
+import junctionhead.policy.Policy;
+import junctionhead.settings.SettingsReader;
+
+/**
+ * A balancer without listener and upstreams: the client of discovery, the membership and the module are the real ones,
+ * joined as in the balancer. Requests, where there are any, come from a clock, and whatever is sent is answered at
+ * once. It ends with its event loop, as a process does: its sockets close and nothing is said.
+ */
+final class HollowBalancer implements Policy.Actions {
+    private static final long LIST_MS = 10_000;     // as the balancer: how long a start waits for a push
+    private static final long LATENCY_US = 2_000;   // of what is answered at once, as the module is told
+
+    private final EventLoop loop;
+    private final FleetPlan.Fleet plan;
+    private final Tally tally;
+    private final Policy policy;
+    private final Membership membership;
+    private final DiscoveryClient client;
+    private final Targets known;
+    private final int rank;
+    private final long unixAtStart = System.currentTimeMillis() * 1000;
+    private final long nanosAtStart = System.nanoTime();
+    private final ArrayDeque<LongConsumer> waiting = new ArrayDeque<>();
+    private final Map<String, Integer> attempts = new HashMap<>();
+    private boolean handing;
+    private long requests;
+    private volatile long rev;
+    private volatile boolean listed;                // discovery has said something of its own
+
+    /** {@code known}: what it had before; an empty list of revision 0 for none. */
+    HollowBalancer(EventLoop loop, FleetPlan.Fleet plan, int rank, int many, InetSocketAddress discovery, long seed,
+            Targets known, Tally tally) {
+        SettingsReader.Boot boot = Site.boot(plan, rank, many);
+        this.loop = loop;
+        this.plan = plan;
+        this.rank = rank;
+        this.tally = tally;
+        this.known = known;
+        this.policy = new Balance(boot.settings(), seed);
+        this.client = new DiscoveryClient(loop, discovery, boot, known.rev(), this::now, this::heard, this::complain);
+        this.membership = new Membership(new TakenOut(), this::now, this::news);
+    }
+
+    /** Begins, on the loop's thread. */
+    void start() {
+        if (plan.ask()) {
+            membership.listed(Policy.ListKind.PERSISTED, known);
+        } else {
+            membership.listed(Policy.ListKind.PERSISTED, new Targets(known.rev(), true, List.of()));
+            membership.hold(known);
+            loop.schedule(membership::release, LIST_MS, TimeUnit.MILLISECONDS);
+        }
+        client.start();
+        if (plan.decisionsPerSecond() > 0) {
+            long every = Math.max(1, Math.round(1e9 / plan.decisionsPerSecond()));
+            loop.scheduleAtFixedRate(this::decide, every * (rank % 97) / 97, every, TimeUnit.NANOSECONDS);
+        }
+    }
+
+    private long now() {
+        return unixAtStart + (System.nanoTime() - nanosAtStart) / 1000;
+    }
+
+    /** The revision that the module has, by discovery's own word; 0 for none yet. */
+    long rev() {
+        return listed ? rev : 0;
+    }
+
+    /** All that it holds; on the loop's thread. */
+    Targets held() {
+        return membership.told();
+    }
+
+    /** How many upstreams it may send to; on the loop's thread. */
+    int up() {
+        return membership.up();
+    }
+
+    private void heard(Policy.ListKind kind, Targets targets) {
+        long before = rev;
+        membership.listed(kind, targets);
+        if (targets == null) {
+            tally.failed++;
+            return;
+        }
+        listed = true;
+        rev = targets.rev();
+        tally.inForce(before, targets.rev());
+    }
+
+    private void complain(String line) {
+        tally.unread++;
+        tally.complaint = line;
+    }
+
+    private void news(Policy.ListKind kind, Targets targets) {
+        if (kind == Policy.ListKind.COMPLETE || kind == Policy.ListKind.PARTIAL) {
+            tally.lists += targets.all() ? 1 : 0;
+            tally.changes += targets.all() || targets.list().isEmpty() ? 0 : 1;
+            tally.entries += targets.list().size();
+        }
+        hand(now -> policy.servers(now, kind, targets == null ? List.of() : targets.servers(), this));
+    }
+
+    private void decide() {
+        String id = Long.toString(++requests, Character.MAX_RADIX);
+        attempts.put(id, 0);
+        hand(now -> policy.request(now, id, 0, 0, "k" + requests % 1_000, Site.LOOKUP.deadline(), -1, false, this));
+        attempts.remove(id);
+    }
+
+    // As in the balancer: the module is not re-entrant, what happens while it is at work waits.
+    private void hand(LongConsumer event) {
+        waiting.add(event);
+        if (handing) {
+            return;
+        }
+        handing = true;
+        try {
+            for (LongConsumer next = waiting.poll(); next != null; next = waiting.poll()) {
+                next.accept(now());
+            }
+        } finally {
+            handing = false;
+        }
+    }
+
+    // ---- the module's actions
+
+    @Override
+    public void send(String request, String server, long timeout) {
+        tally.decided++;
+        int attempt = attempts.merge(request, 1, Integer::sum) - 1;
+        hand(now -> policy.outcome(now, request, attempt, Policy.Outcome.OK, LATENCY_US, true, null, this));
+    }
+
+    @Override
+    public void refuse(String request, long retryAfter) {
+        tally.refused++;
+    }
+
+    @Override
+    public void fail(String request) {
+        tally.refused++;
+    }
+
+    @Override
+    public void cancel(String request, int attempt) { }
+
+    @Override
+    public void probe(String server) { }
+
+    @Override
+    public void watch(boolean on) {
+        client.watch(on);
+    }
+
+    @Override
+    public void fetchList() {
+        client.fetch();
+    }
+
+    @Override
+    public void closeIdle(String server) { }
+
+    @Override
+    public void tell(int peer, byte[] data) { }
+
+    @Override
+    public void wakeAfter(long delay) {
+        loop.schedule(() -> hand(now -> policy.wake(now, this)), delay, TimeUnit.MICROSECONDS);
+    }
+
+    @Override
+    public void remark(String line) { }
+}
--- a/lab/src/main/java/junctionhead/lab/sockets/BalancerProcess.java
+++ b/lab/src/main/java/junctionhead/lab/sockets/BalancerProcess.java
@@ -15,10 +15,30 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.LongConsumer;
 
 /** A real balancer in a process of its own, from its jar, before upstreams that are known from the start. */
 public final class BalancerProcess implements Closeable {
     private static final long STOP_S = 10;
+    private static final long AGAIN_NS = 5_000_000;
+    private static final int RUNS = -1;
+
+    /** One that did not come up. */
+    public static final class DidNotStart extends IOException {
+        private static final long serialVersionUID = 1L;
+        private final int exitCode;
+
+        DidNotStart(String message, int exitCode) {
+            super(message);
+            this.exitCode = exitCode;
+        }
+
+        /** What it ended with, or -1 where it ran on without being ready, and was ended. */
+        public int exitCode() {
+            return exitCode;
+        }
+    }
 
     private final Process process;
     private final InetSocketAddress address;
@@ -57,6 +77,17 @@
      */
     public BalancerProcess(List<String> command, Path folder, Map<String, Object> settings,
             Map<String, String> environment) throws IOException {
+        this(command, folder, settings, environment, pid -> { });
+    }
+
+    /**
+     * The same, where somebody has to know of the process from its first moment on.
+     *
+     * @param begun gets its id before it is ready
+     * @throws DidNotStart where it doesn't come up; the message ends with its log
+     */
+    public BalancerProcess(List<String> command, Path folder, Map<String, Object> settings,
+            Map<String, String> environment, LongConsumer begun) throws IOException {
         config = Files.createTempFile("balancer", ".json");
         Files.writeString(config, new ObjectMapper().writeValueAsString(settings));
         ProcessBuilder start = new ProcessBuilder(command).directory(folder.toFile());
@@ -66,6 +97,7 @@
         start.environment().putAll(environment);
         start.redirectErrorStream(true);
         process = start.start();
+        begun.accept(process.pid());
         Runtime.getRuntime().addShutdownHook(new Thread(process::destroy));     // also on Ctrl-C nothing stays
         BufferedReader out = new BufferedReader(new InputStreamReader(process.getInputStream(),
             StandardCharsets.UTF_8));
@@ -83,7 +115,9 @@
             }
         }
         if (found == null) {
-            throw new IOException("the balancer didn't start: " + String.join("; ", log));
+            int code = exitCode();
+            close();                                        // nobody else knows of it
+            throw new DidNotStart("the balancer didn't start: " + String.join("; ", log), code);
         }
         address = found;
         Thread reader = new Thread(() -> {
@@ -109,14 +143,25 @@
 
     private void awaitReady() throws IOException {
         long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
-        while (System.nanoTime() < until) {
+        while (System.nanoTime() < until && process.isAlive()) {
             Exchange ready = Exchange.of(address, "GET /-/ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
                 2_000);
             if (ready.status() == 200) {
                 return;
             }
+            LockSupport.parkNanos(AGAIN_NS);                // asking must not cost it the core that it starts on
+        }
+        throw new DidNotStart("the balancer wasn't ready in time: " + String.join("; ", log()),
+            process.isAlive() ? RUNS : exitCode());
+    }
+
+    private int exitCode() {
+        try {
+            return process.waitFor(STOP_S, TimeUnit.SECONDS) ? process.exitValue() : RUNS;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return RUNS;
         }
-        throw new IOException("the balancer wasn't ready in time: " + String.join("; ", log()));
     }
 
     private static Map<String, Object> config(Map<String, InetSocketAddress> upstreams) {
