Let hollow balancers hold what a real one holds, and bound every list that comes to a membership

Change: Membership bounds each list that nobody has looked at; hollow balancers take upstreams_most from the experiment file.

--- a/discovery/src/main/java/junctionhead/discovery/Holding.java
+++ b/discovery/src/main/java/junctionhead/discovery/Holding.java
@@ -1,5 +1,6 @@
 package junctionhead.discovery;
 
+import java.util.List;
 import java.util.function.Consumer;
 import junctionhead.subset.Gathering;
 import junctionhead.subset.Subset;
@@ -71,6 +72,24 @@
         sought = (sought == null ? subset : sought).next();
     }
 
+    /** The same list, or what is held of it where it names more than that and nobody has looked yet. */
+    Targets of(Targets list) {
+        if (list.part() != null || list.list().size() <= most) {
+            return list;
+        }
+        Gathering<Targets.Target> gathering = gather(list.all());
+        for (Targets.Target t : list.list()) {
+            if (gathering.wants(Subset.hash(t.server().id()))) {
+                gathering.add(t);
+            } else {
+                gathering.pass();
+            }
+        }
+        List<Targets.Target> held = List.copyOf(gathering.end());
+        return new Targets(list.rev(), list.all(), held, list.toldAt(),
+            new Targets.Part(gathering.subset(), gathering.named()));
+    }
+
     /** Holds that part from here on, of a list that names so many; -1 where it isn't whole. */
     void become(Subset next, long of) {
         boolean other = !next.equals(subset);
--- a/discovery/src/main/java/junctionhead/discovery/Membership.java
+++ b/discovery/src/main/java/junctionhead/discovery/Membership.java
@@ -42,12 +42,13 @@
         this.news = news;
     }
 
-    /** What discovery tells; {@code targets} is null where it has failed. */
-    public void listed(ListKind kind, Targets targets) {
-        if (targets == null) {
+    /** What discovery tells; {@code all} is null where it has failed. */
+    public void listed(ListKind kind, Targets all) {
+        if (all == null) {
             news.accept(kind, null);
             return;
         }
+        Targets targets = holding.of(all);
         if (targets.all()) {
             told.clear();
         }
@@ -133,7 +134,8 @@
      * Begins with a list that is too old to go by: it is passed on with what discovery has to say of it, as one, or by
      * {@link #release()}.
      */
-    public void hold(Targets old) {
+    public void hold(Targets known) {
+        Targets old = holding.of(known);
         rev = old.rev();
         old.list().forEach(t -> told.put(t.server().id(), t));
         if (old.part() != null) {
--- a/discovery/src/test/java/junctionhead/discovery/MembershipTest.java
+++ b/discovery/src/test/java/junctionhead/discovery/MembershipTest.java
@@ -169,6 +169,15 @@
         assertTrue(holding.summary().contains("1000"), holding.summary());
     }
 
+    /** A list that stands in a file, or comes from a caller that read it by itself. */
+    @Test
+    void aListThatNobodyHasLookedAtIsBoundedToo() {
+        membership.listed(ListKind.COMPLETE, new Targets(9, true, IntStream.range(0, 500).mapToObj(i ->
+            new Targets.Target(new Policy.Server("s-" + i, Policy.State.UP, 0, 1, 0, 0, 0), null)).toList()));
+        assertEquals(all(0, 500), new TreeSet<>(module.keySet()));
+        assertTrue(module.size() <= MOST && holding.named() == 500, holding.summary());
+    }
+
     @Test
     void whatAnotherProcessHeldIsTakenOverWithinTheBound() {
         MembershipTest other = new MembershipTest().begin(4);
--- a/lab/src/main/java/junctionhead/lab/fleet/FleetPlan.java
+++ b/lab/src/main/java/junctionhead/lab/fleet/FleetPlan.java
@@ -28,10 +28,11 @@
      * @param idle time for which nothing changes, measured by itself
      * @param length time of the churn
      * @param reach for how long what should come is waited for, before it is said not to have come
+     * @param upstreamsMost that a hollow balancer holds of a list, as one by the {@code run} line does by its heap
      */
     public record Fleet(boolean ask, int balancers, int upstreams, int real, double loadPerSecond,
             double decisionsPerSecond, int loops, List<String> zones, int rackSize, long idle, long length,
-            long reach) {
+            long reach, int upstreamsMost) {
         /** Keeps a copy. */
         public Fleet {
             zones = List.copyOf(zones);
@@ -72,7 +73,8 @@
     FleetPlan sized(int balancers, int upstreams) {
         Fleet f = fleet;
         return new FleetPlan(name, question, seed, new Fleet(f.ask, balancers, upstreams, f.real, f.loadPerSecond,
-            f.decisionsPerSecond, f.loops, f.zones, f.rackSize, f.idle, f.length, f.reach), churn, discovery, restart,
+            f.decisionsPerSecond, f.loops, f.zones, f.rackSize, f.idle, f.length, f.reach,
+            f.upstreamsMost), churn, discovery, restart,
             outage, sweeps);
     }
 }
--- a/lab/src/main/java/junctionhead/lab/fleet/FleetReader.java
+++ b/lab/src/main/java/junctionhead/lab/fleet/FleetReader.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import junctionhead.discovery.Holding;
 import junctionhead.toml.Faults;
 import junctionhead.toml.Section;
 import junctionhead.toml.Section.Measure;
@@ -16,6 +17,7 @@
     private static final double HOUR = 3600;
     private static final double DAY = 24 * HOUR;
     private static final int MOST = 10_000_000;
+    private static final long RUN_HEAP = 40L << 20;             // -Xmx of the run line
 
     private FleetReader() { }
 
@@ -64,7 +66,8 @@
         FleetPlan.Fleet fleet = new FleetPlan.Fleet(mode.equals("ask"), count(f, "balancers", 10),
             count(f, "upstreams", 100), (int) whole(f, "real", 0), f.number("load_per_s", Measure.NUMBER, 50),
             f.number("decisions_per_s", Measure.NUMBER, 0), count(f, "loops", 2), zones, count(f, "rack_size", 40),
-            f.time("idle", 10_000_000), f.time("length", 20_000_000), f.time("reach", 60_000_000));
+            f.time("idle", 10_000_000), f.time("length", 20_000_000), f.time("reach", 60_000_000),
+            count(f, "upstreams_most", Holding.most(RUN_HEAP)));
         f.done();
         return fleet;
     }
--- a/lab/src/main/java/junctionhead/lab/fleet/HollowBalancer.java
+++ b/lab/src/main/java/junctionhead/lab/fleet/HollowBalancer.java
@@ -9,7 +9,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
 import junctionhead.discovery.DiscoveryClient;
+import junctionhead.discovery.Holding;
 import junctionhead.discovery.Membership;
+import junctionhead.discovery.MoreParts;
 import junctionhead.discovery.Targets;
 import junctionhead.drain.TakenOut;
 import junctionhead.policy.Balance;
@@ -52,8 +54,12 @@
         this.tally = tally;
         this.known = known;
         this.policy = new Balance(boot.settings(), seed);
-        this.client = new DiscoveryClient(loop, discovery, boot, known.rev(), this::now, this::heard, this::complain);
-        this.membership = new Membership(new TakenOut(), this::now, this::news);
+        Holding holding = new Holding(plan.upstreamsMost(), rank);
+        this.client = new DiscoveryClient(loop, discovery, boot, holding, known.rev(), this::now, this::heard,
+            this::complain);
+        this.membership = new Membership(holding, new TakenOut(), this::now, this::news);
+        holding.onChange(h -> hand(now -> policy.share(Math.min(many, h.subset().parts()))));
+        new MoreParts(loop, membership, client, seed);
     }
 
     /** Begins, on the loop's thread. */
