--- a/lab/src/main/java/junctionhead/lab/fleet/Axes.java
+++ b/lab/src/main/java/junctionhead/lab/fleet/Axes.java
@@ -14,6 +14,8 @@
         MAKERS.put("balancers", BalancersAxis::new);
         MAKERS.put("upstreams", UpstreamsAxis::new);
         MAKERS.put("real_upstreams", RealUpstreamsAxis::new);
+        MAKERS.put("routes", RoutesAxis::new);
+        MAKERS.put("tenants", TenantsAxis::new);
     }
 
     /**
--- a/lab/src/main/java/junctionhead/lab/fleet/RealBalancers.java
+++ b/lab/src/main/java/junctionhead/lab/fleet/RealBalancers.java
@@ -47,6 +47,11 @@
 
     /** Starts one and waits until it is ready or has ended. */
     Start start(Map<String, Object> config) throws IOException {
+        return start(config, Map.of());
+    }
+
+    /** The same with further variables, such as the operator file. */
+    Start start(Map<String, Object> config, Map<String, String> environment) throws IOException {
         AtomicLong pid = new AtomicLong();
         AtomicBoolean over = new AtomicBoolean();
         AtomicLong most = new AtomicLong();
@@ -63,7 +68,7 @@
         sampler.start();
         long began = System.nanoTime();
         try {
-            BalancerProcess process = new BalancerProcess(List.of("bash", "-c", run), root, config, Map.of(), pid::set);
+            BalancerProcess process = new BalancerProcess(List.of("bash", "-c", run), root, config, environment, pid::set);
             synchronized (this) {
                 processes.add(process);
             }
--- /dev/null
+++ b/lab/src/main/java/junctionhead/lab/fleet/RoutesAxis.java
@@ -0,0 +1,101 @@
+package junctionhead.lab.fleet;
+
+import java.io.IOException;
+import java.io.Writer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import junctionhead.front.Front;
+import junctionhead.front.FrontPlan;
+import junctionhead.limits.ConcurrencyLimit;
+import junctionhead.routes.PathTemplate;
+import junctionhead.routes.Route;
+import junctionhead.routes.RouteTable;
+
+/**
+ * The routes of an operator file: what the table keeps, what a look-up and a change of the file cost (the front is made
+ * anew at each change), and whether a balancer by the {@code run} line starts with such a file.
+ */
+final class RoutesAxis implements Axis {
+    private static final int PATHS = 1024;
+    private static final int EACH = 6_000;          // bytes here: file, table, front and what is made meanwhile
+
+    private final Axes.Setup setup;
+
+    RoutesAxis(Axes.Setup setup) {
+        this.setup = setup;
+    }
+
+    @Override
+    public String name() {
+        return "routes";
+    }
+
+    @Override
+    public Need need(long size) {
+        return RealStart.need((200L << 20) + size * EACH);
+    }
+
+    @Override
+    public ScalePoint measure(long size) throws IOException {
+        Map<String, Double> figures = new TreeMap<>();
+        List<String> missed = new ArrayList<>();
+        figures.put(FleetRun.LOAD, Host.load());
+        List<Route> routes = new ArrayList<>();
+        for (int i = 0; i < size; i++) {
+            routes.add(new Route("r" + i, PathTemplate.of(path(i)), Set.of("GET"), Map.of(), Set.of(), Set.of(), i));
+        }
+        figures.put("table_heap_per_route_bytes", Repeated.retained(() -> new RouteTable(routes)) / size);
+        figures.put("table_made_ms", Repeated.millis(() -> new RouteTable(routes)));
+        RouteTable table = new RouteTable(routes);
+        Route.Request[] requests = new Route.Request[PATHS];
+        for (int i = 0; i < PATHS; i++) {
+            int r = (int) (i * 7919L % size);
+            requests[i] = new Route.Request("GET", PathTemplate.split(path(r).replace("{key}", "k" + i)), Map.of(),
+                null, "lookup");
+        }
+        int[] next = {0};
+        figures.put("match_ns", Repeated.nanos(() -> table.find(requests[next[0] = next[0] + 1 & PATHS - 1])));
+        figures.put("front_heap_per_route_bytes", Repeated.retained(() -> new Front(plan(routes))) / size);
+        figures.put("front_made_ms", Repeated.millis(() -> new Front(plan(routes))));
+        Path file = Files.createTempFile("routes", ".toml");
+        try {
+            write(file, size);
+            figures.put("file_bytes", (double) Files.size(file));
+            RealStart.measure(setup, Map.of(), Map.of("ROUTER_OPERATOR_FILE", file.toString()),
+                size + " routes", figures, missed);
+        } finally {
+            Files.deleteIfExists(file);
+        }
+        return new ScalePoint(name(), size, figures, missed);
+    }
+
+    private static String path(int i) {
+        return "/service" + i % 97 + "/part" + i + (i % 3 == 0 ? "/{key}" : "/seats");
+    }
+
+    private static FrontPlan plan(List<Route> routes) {
+        ConcurrencyLimit.Plan limit = new ConcurrencyLimit.Plan(ConcurrencyLimit.Kind.FIXED, 100, 10, 1000);
+        List<FrontPlan.RoutePlan> plans = new ArrayList<>();
+        for (Route r : routes) {
+            plans.add(new FrontPlan.RoutePlan(r, List.of(new FrontPlan.Way("site", 1, List.of())), 1.2, 0.05, null,
+                null, 0));
+        }
+        return new FrontPlan(List.of(new FrontPlan.PoolPlan("site", limit, 10)), plans, "site",
+            FrontPlan.Quotas.none(), 1, 0.1, new FrontPlan.Advice(100_000, 1_500_000));
+    }
+
+    private static void write(Path file, long size) throws IOException {
+        try (Writer out = Files.newBufferedWriter(file)) {
+            out.write("[front]\nunmatched = \"site\"\n");
+            for (int i = 0; i < size; i++) {
+                out.write("\n[[route]]\nname = \"r" + i + "\"\npath = \"" + path(i) + "\"\nmethods = [\"GET\"]\n"
+                    + "to = [{ pool = \"site\", weight = 1 }]\n");
+            }
+        }
+    }
+}
