Call discovery again, and count rightly, after a connection that found no descriptor

Seen: a process that has no descriptor left for a call to discovery never calls again where lists are pushed; requests that find none use up the count of descriptors for good. Cause: Netty gives such an attempt a channel without a loop. Its end is told on another thread, closing it throws, and it has no close that could be told. DiscoveryClient.Call.drop threw before ended() had set the next try, and Upstreams.dial never gave back what it had counted.

Looked into and found in order: the reserve (Descriptors.RESERVE, 64, half of less than 128) holds the process's own files, operators' callers, the successor's link, the call to discovery, the file on SIGHUP and the 16 connections that one accept may bring too many.

Change: an attempt without a loop is a failure at once, on the loop, and gives back its count.

--- a/balancer/src/main/java/junctionhead/net/Upstreams.java
+++ b/balancer/src/main/java/junctionhead/net/Upstreams.java
@@ -224,6 +224,12 @@
             }
         }).connect(via != null ? via : u.endpoint);
         connection.channel = connected.channel();
+        if (!connection.channel.isRegistered()) {
+            // The system has no descriptor left, whatever is counted here. It has no loop to tell of its end.
+            descriptors.closed();
+            call.end(Outcome.CONNECT_FAILED, null, null);
+            return;
+        }
         connection.channel.closeFuture().addListener(closed -> connection.closed());
         connected.addListener(done -> {
             if (!done.isSuccess()) {
--- /dev/null
+++ b/balancer/src/test/java/junctionhead/net/ShortOfDescriptorsTest.java
@@ -0,0 +1,165 @@
+package junctionhead.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A process of its own, whose system really has no more descriptors than it may use. */
+@Timeout(120)
+class ShortOfDescriptorsTest {
+    private static final String OPEN = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    private static final String ASK = "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n";
+
+    private FakeUpstream upstream;
+    private FakeUpstream discovery;
+    private Path config;
+    private Process process;
+    private BufferedReader err;
+    private InetSocketAddress at;
+
+    @BeforeEach
+    void open() throws IOException {
+        upstream = new FakeUpstream();
+        discovery = new FakeUpstream();
+        config = Files.createTempFile("junctionhead", ".json");
+    }
+
+    @AfterEach
+    void close() throws IOException, InterruptedException {
+        process.destroyForcibly().waitFor();
+        upstream.close();
+        discovery.close();
+        Files.delete(config);
+    }
+
+    private void start(int descriptors, String membership) throws IOException {
+        Files.writeString(config, """
+            {"name": "n1", "listen": "127.0.0.1:0", "discovery": "%s", "seed": "8c1f30d27a5be964",
+             "known": {"rev": 41, "all": true, "targets": [%s]}, "settings": {
+              "Balancers": 1, "Quantum": 5000, "MembershipMode": "%s",
+              "Classes": [{"Name": "read", "Idempotency": "safe", "GoalTime": 600000, "GiveUp": 30000000}],
+              "Limits": {"TryLimit": 3, "MayDuplicate": true, "Cancel": true, "Probes": true},
+              "Rules": {"AnswerSlack": 20000, "DrainGrace": 1000000, "AskWithin": 10000000, "ColdFrom": 0.2,
+                "RampTime": 20000000, "OverloadFactor": 2.5, "Fall": 1500000}}}
+            """.formatted(discovery.address(), target(), membership));
+        ProcessBuilder builder = new ProcessBuilder("sh", "-c", "ulimit -n " + descriptors + "; exec \"$0\" \"$@\"",
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+            System.getProperty("java.class.path"), "junctionhead.Main", "serve");
+        builder.environment().keySet().removeIf(name -> name.startsWith("ROUTER_"));
+        builder.environment().put("ROUTER_CONFIG", config.toString());
+        process = builder.start();
+        err = process.errorReader(StandardCharsets.UTF_8);
+        String line = nextWith("listening on ");
+        at = new InetSocketAddress("127.0.0.1", Integer.parseInt(line.substring(line.lastIndexOf(':') + 1)));
+    }
+
+    private String target() {
+        return "{\"uid\": \"s1\", \"endpoint\": \"" + upstream.address() + "\", \"state\": \"in_service\", \"boot_ms\": 0}";
+    }
+
+    private String nextWith(String word) throws IOException {
+        String line = err.readLine();
+        while (line != null && !line.contains(word)) {
+            line = err.readLine();
+        }
+        assertTrue(line != null, "it has ended without a word of: " + word);
+        return line;
+    }
+
+    private static void run(String... command) throws IOException, InterruptedException {
+        assertEquals(0, new ProcessBuilder(command).inheritIO().start().waitFor());
+    }
+
+    private void served() throws IOException, InterruptedException {
+        try (NodeFixture.Client client = new NodeFixture.Client(at)) {
+            client.send(NodeFixture.SAFE);
+            upstream.next().answer(200, "", "ok");
+            assertEquals(200, client.status());
+        }
+    }
+
+    /** Discovery is down, and clients that ask once and stay fill all that there is. */
+    @ParameterizedTest
+    @ValueSource(strings = {"ask", "push"})
+    void idleClientsLeaveDescriptorsToDiscoveryAndToTheNextConfiguration(String membership)
+            throws IOException, InterruptedException {
+        start(128, membership);
+        FakeUpstream.Got watch = discovery.next();
+        watch.raw(OPEN + NodeFixture.chunk("\n"));
+        served();
+        List<NodeFixture.Client> crowd = new ArrayList<>();
+        try {
+            for (int i = 0; i < 200; i++) {
+                NodeFixture.Client one = new NodeFixture.Client(at);
+                crowd.add(one);
+                if (i < 30) {
+                    one.send(ASK).status();
+                } else {
+                    one.send(ASK);                  // some are let in later, or never
+                }
+            }
+            for (int i = 0; i < 3; i++) {
+                watch.reset();                      // by discovery that is down: each call ends like that
+                watch = discovery.next();
+            }
+            watch.raw(OPEN + NodeFixture.chunk("\n"));
+            long held;
+            try (Stream<Path> open = Files.list(Path.of("/proc", String.valueOf(process.pid()), "fd"))) {
+                held = open.count();
+            }
+            // As many clients as it lets in, and its own.
+            assertTrue(held > 41 && held <= 128, held + " descriptors");
+            Files.writeString(config, Files.readString(config).replace("\"seed\"", "\"noted\": 1, \"seed\""));
+            run("kill", "-HUP", String.valueOf(process.pid()));
+            nextWith("configuration taken over");
+            served();
+        } finally {
+            for (NodeFixture.Client one : crowd) {
+                one.close();
+            }
+        }
+    }
+
+    /** The system has none left at all for a while: not a call, not a connection to an upstream. */
+    @ParameterizedTest
+    @ValueSource(strings = {"ask", "push"})
+    void callsThatFindNoDescriptorAreMadeAgainOnceThereIsOne(String membership)
+            throws IOException, InterruptedException {
+        start(256, membership);
+        discovery.next().socket().close();          // all that a failure needs has been loaded
+        FakeUpstream.Got watch = discovery.next();
+        watch.raw(OPEN + NodeFixture.chunk("\n"));
+        try (NodeFixture.Client client = new NodeFixture.Client(at)) {
+            client.send(NodeFixture.SAFE);
+            FakeUpstream.Got got = upstream.next();
+            got.answer(200, "Connection: close\r\n", "ok");
+            assertEquals(200, client.status());
+            run("prlimit", "--pid", String.valueOf(process.pid()), "--nofile=1:256");
+            watch.socket().close();
+            for (int i = 0; i < 200; i++) {         // more tries than the balancer may have descriptors
+                client.send(NodeFixture.SAFE);
+                int status = client.status();
+                assertTrue(status == 503 || status == 502, "status " + status);
+            }
+            run("prlimit", "--pid", String.valueOf(process.pid()), "--nofile=256:256");
+            discovery.next().raw(OPEN + NodeFixture.chunk("\n"));
+            client.send(NodeFixture.SAFE);
+            upstream.next().answer(200, "", "ok");
+            assertEquals(200, client.status());
+        }
+    }
+}
--- a/discovery/src/main/java/junctionhead/discovery/DiscoveryClient.java
+++ b/discovery/src/main/java/junctionhead/discovery/DiscoveryClient.java
@@ -163,6 +163,10 @@
                     }
                 }).connect(address);
             channel = connected.channel();
+            if (!channel.isRegistered()) {              // no descriptor is left: it has no loop to tell of its end
+                loop.execute(this::ended);
+                return;
+            }
             channel.closeFuture().addListener(closed -> ended());
             connected.addListener(done -> {
                 if (done.isSuccess()) {
@@ -185,7 +189,9 @@
                 watch = null;
             }
             silence.cancel(false);
-            channel.close();
+            if (channel.isRegistered()) {
+                channel.close();
+            }
         }
 
         // Guards against a discovery that is cut off: its connection stays open and silent.
