--- a/balancer/src/test/java/junctionhead/net/DiscoveryTest.java
+++ b/balancer/src/test/java/junctionhead/net/DiscoveryTest.java
@@ -142,7 +142,8 @@
     }
 
     /**
-     * Discovery is down at a start: the process is ready well before the terms want it, by the loop's own timers. It goes by nothing older than what its agent has, though.
+     * Discovery is down at a start: the process is ready well before the terms want it, by the loop's own timers.
+     * It goes by nothing older than what its agent has, though.
      */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
--- a/balancer/src/test/java/junctionhead/net/ShortOfDescriptorsTest.java
+++ b/balancer/src/test/java/junctionhead/net/ShortOfDescriptorsTest.java
@@ -68,7 +68,8 @@
     }
 
     private String target() {
-        return "{\"uid\": \"s1\", \"endpoint\": \"" + upstream.address() + "\", \"state\": \"in_service\", \"boot_ms\": 0}";
+        return "{\"uid\": \"s1\", \"endpoint\": \"" + upstream.address()
+            + "\", \"state\": \"in_service\", \"boot_ms\": 0}";
     }
 
     private String nextWith(String word) throws IOException {
