--- a/discovery/src/main/java/junctionhead/discovery/DiscoveryClient.java
+++ b/discovery/src/main/java/junctionhead/discovery/DiscoveryClient.java
@@ -86,9 +86,9 @@
         }
     }
 
-    /** How long discovery may say nothing before it counts as silent, in µs. */
-    public long patience() {
-        return telling.patience();
+    /** How long a process that has started need not be ready for want of an answer, in µs. */
+    public long startWithin() {
+        return telling.startWithin();
     }
 
     /** Subscribes to changes, in place of an earlier subscription, or ends it. */
@@ -167,6 +167,10 @@
                     }
                 }).connect(address);
             channel = connected.channel();
+            if (!channel.isRegistered()) {              // no descriptor is left: it has no loop to tell of its end
+                loop.execute(this::ended);
+                return;
+            }
             channel.closeFuture().addListener(closed -> ended());
             connected.addListener(done -> {
                 if (done.isSuccess()) {
@@ -189,7 +193,9 @@
                 watch = null;
             }
             silence.cancel(false);
-            channel.close();
+            if (channel.isRegistered()) {
+                channel.close();
+            }
         }
 
         // Guards against a discovery that is cut off: its connection stays open and silent.
