End a real balancer of a scale run that does not start within a minute

Need: one with 10,000 routes collected garbage for 391 s before it ended by memory, and the run waited.

--- a/lab/src/main/java/junctionhead/lab/fleet/RealBalancers.java
+++ b/lab/src/main/java/junctionhead/lab/fleet/RealBalancers.java
@@ -15,6 +15,8 @@
 /** Balancers by the deployment's {@code run} line, each in a process of its own. */
 final class RealBalancers implements AutoCloseable {
     private static final long SAMPLE_NS = 20_000_000;
+    /** That a start may take before the process is ended: one that collects garbage without end is not waited for. */
+    private static final long START_NS = 60_000_000_000L;
 
     /**
      * How a start went.
@@ -55,8 +57,12 @@
         AtomicLong pid = new AtomicLong();
         AtomicBoolean over = new AtomicBoolean();
         AtomicLong most = new AtomicLong();
+        long began = System.nanoTime();
         Thread sampler = new Thread(() -> {
             while (!over.get()) {
+                if (pid.get() != 0 && System.nanoTime() - began > START_NS) {
+                    ProcessHandle.of(pid.get()).ifPresent(ProcessHandle::destroyForcibly);
+                }
                 double rss = pid.get() == 0 ? Double.NaN : Host.status(pid.get(), "VmRSS");
                 if (!Double.isNaN(rss)) {
                     most.accumulateAndGet((long) rss, Math::max);
@@ -66,9 +72,9 @@
         }, "rss");
         sampler.setDaemon(true);
         sampler.start();
-        long began = System.nanoTime();
         try {
-            BalancerProcess process = new BalancerProcess(List.of("bash", "-c", run), root, config, environment, pid::set);
+            BalancerProcess process =
+                new BalancerProcess(List.of("bash", "-c", run), root, config, environment, pid::set);
             synchronized (this) {
                 processes.add(process);
             }
