Count a client's time from when it sent, not from when there was time to read it

Cause: Dispatcher.take counted the time from its own look at the request; Upstreams.Call told its upstream the time as it was before it waited for a connection; a request sent ahead had its time begin when the one before it was over. Ruled out: the module's own waits (Dispatcher.send works from the deadline). Change: Polls, the loop's select strategy, knows since when what is read may have lain there; Taken carries that; what an attempt tells is lessened by its wait for a connection.

--- a/balancer/src/main/java/junctionhead/net/Client.java
+++ b/balancer/src/main/java/junctionhead/net/Client.java
@@ -42,7 +42,8 @@
     private static final int LINGER_BYTES = 64 * 1024;
     private static final int AHEAD_MOST = 16;       // requests that may be sent ahead
 
-    private record Taken(HttpRequest head, byte[] body, Flow rest) { }
+    /** {@code sentAt}: the latest that its client can have sent the last byte that was read, by System.nanoTime. */
+    private record Taken(HttpRequest head, byte[] body, Flow rest, long sentAt) { }
 
     private final ClientServer server;
     private final Channel channel;
@@ -165,7 +166,7 @@
     public void flowing(HttpRequest head, Flow body) {
         asked = true;
         upload = body;
-        ahead.add(new Taken(head, new byte[0], body));
+        ahead.add(new Taken(head, new byte[0], body, sentAt()));
         nextIfRoom();
     }
 
@@ -187,7 +188,7 @@
             server.room().give(body.length);
             bad(HttpResponseStatus.BAD_REQUEST, "too many requests sent ahead");
         } else {
-            ahead.add(new Taken(head, body, null));
+            ahead.add(new Taken(head, body, null, sentAt()));
             nextIfRoom();
         }
     }
@@ -255,7 +256,12 @@
         serving = true;
         charged = request.body().length;
         answering = request.rest();
-        server.serve(this, request.head(), request.body(), request.rest());
+        long waited = (System.nanoTime() - request.sentAt()) / 1000;
+        server.serve(this, request.head(), request.body(), request.rest(), waited);
+    }
+
+    private long sentAt() {
+        return System.nanoTime() - 1000 * server.unread();
     }
 
     /** The module owes an answer from here on; {@code left} runs if the client leaves before it. */
--- a/balancer/src/main/java/junctionhead/net/ClientServer.java
+++ b/balancer/src/main/java/junctionhead/net/ClientServer.java
@@ -25,6 +25,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import junctionhead.settings.SettingsReader;
 
@@ -44,6 +45,7 @@
     private Desk desk;
     private final Descriptors descriptors;
     private final BooleanSupplier shedIdleUpstream;
+    private final LongSupplier unread;
     private final Room room = new Room(ROOM);
     private final Set<Client> clients = new LinkedHashSet<>();  // the oldest first
     private Channel listener;
@@ -57,7 +59,8 @@
     private Rehearsal rehearsal;                    // while it is on
 
     ClientServer(EventLoop loop, SettingsReader.Boot boot, Desk desk, Descriptors descriptors,
-            BooleanSupplier shedIdleUpstream) {
+            BooleanSupplier shedIdleUpstream, LongSupplier unread) {
+        this.unread = unread;
         this.loop = loop;
         this.boot = boot;
         this.desk = desk;
@@ -131,6 +134,11 @@
         desk = other;
     }
 
+    /** For how long what is read now may have lain unread, in µs. */
+    long unread() {
+        return unread.getAsLong();
+    }
+
     /** Takes connections from here on. */
     void accept() {
         accepting = !stopping || !shared;
@@ -278,7 +286,7 @@
 
     // ---------------------------------------------------------------- requests
 
-    void serve(Client client, HttpRequest request, byte[] body, Flow rest) {
+    void serve(Client client, HttpRequest request, byte[] body, Flow rest, long waited) {
         boolean keep = HttpUtil.isKeepAlive(request);
         String path = request.uri();
         boolean rehearsing = rehearsal != null && rehearsal.knows(request.headers());
@@ -302,6 +310,8 @@
             Order order;
             try {
                 order = RequestRules.order(request, body, rest, boot);
+                // The client's time runs from its last byte on, not from when somebody here had time to look at it.
+                order = rest == null ? order.within(Math.max(0, order.timeLeft() - waited)) : order;
             } catch (IllegalArgumentException e) {
                 client.refuse(HttpResponseStatus.BAD_REQUEST, e.getMessage());
                 return;
--- a/balancer/src/main/java/junctionhead/net/Node.java
+++ b/balancer/src/main/java/junctionhead/net/Node.java
@@ -7,12 +7,14 @@
 import java.net.InetSocketAddress;
 import java.net.UnixDomainSocketAddress;
 import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.spi.SelectorProvider;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executor;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
@@ -47,7 +49,9 @@
     private static final long FLUSH_MS = 20;        // for the last answers to leave
 
     private final Log log;
-    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final Polls polls = new Polls(System::nanoTime);
+    private final NioEventLoopGroup group =
+        new NioEventLoopGroup(1, (Executor) null, SelectorProvider.provider(), polls);
     private final EventLoop loop = group.next();
     private final Dispatcher dispatcher;
     private final Upstreams upstreams;
@@ -96,7 +100,8 @@
         Holding holding = new Holding(config.upstreams(), config.boot().settings().rank());
         discovery = new DiscoveryClient(loop, config.discovery(), config.boot(), holding, config.known().rev(),
             dispatcher::now, this::listed, log::accept);
-        clients = new ClientServer(loop, config.boot(), dispatcher, descriptors, upstreams::shedIdle);
+        clients = new ClientServer(loop, config.boot(), dispatcher, descriptors, upstreams::shedIdle,
+            polls::unread);
         upstreams.shedBy(clients::shed);
         dispatcher.attach(upstreams, discovery);
         membership = new Membership(holding, new TakenOut(), dispatcher::now, dispatcher::listed);
--- a/balancer/src/main/java/junctionhead/net/Upstreams.java
+++ b/balancer/src/main/java/junctionhead/net/Upstreams.java
@@ -298,7 +298,8 @@
     /** A request on its way to an upstream. */
     static final class Call {
         private final Order order;
-        private final long waitMillis;              // 0: not told to the upstream
+        private final long waitMillis;              // from when it was made; 0: not told to the upstream
+        private final long madeAt = System.nanoTime();
         private final Listener listener;
         private Connection connection;
         private Future<?> timer;
@@ -355,7 +356,8 @@
                     to.getAddress().getHostAddress() + ":" + to.getPort());
             }
             if (waitMillis > 0) {
-                message.headers().set(RequestRules.DEADLINE, Long.toString(waitMillis));
+                long waited = (System.nanoTime() - madeAt) / 1_000_000;      // for its connection
+                message.headers().set(RequestRules.DEADLINE, Long.toString(Math.max(1, waitMillis - waited)));
             }
             if (order.rest() != null) {
                 if (order.rest().length() >= 0) {
--- /dev/null
+++ b/balancer/src/test/java/junctionhead/net/TimeLeftTest.java
@@ -0,0 +1,83 @@
+package junctionhead.net;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+
+/** What an attempt tells its upstream is at most what is left to the client, however busy the loop was. */
+class TimeLeftTest extends NodeFixture {
+    private static final long BUSY_NS = 400_000_000;
+    private static final int BUSY_MS = 400;
+    private static final int TIME_MS = 20_000;      // as the request says
+
+    // What the loop does when it is busy: nothing is read and nothing noticed meanwhile.
+    private static void busy() {
+        long until = System.nanoTime() + BUSY_NS;
+        while (System.nanoTime() < until) {
+            Thread.onSpinWait();
+        }
+    }
+
+    private int told() throws InterruptedException {
+        return Integer.parseInt(upstream.next().header("Req-Deadline-Ms"));
+    }
+
+    @Test
+    void theTimeThatARequestLayUnreadIsOver() throws IOException, InterruptedException {
+        start();
+        try (Client client = new Client(at)) {
+            client.send("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status();
+            CountDownLatch sent = new CountDownLatch(1);
+            CountDownLatch held = new CountDownLatch(1);
+            onLoop(() -> {
+                held.countDown();
+                await(sent);
+                busy();
+            });
+            held.await();
+            client.send(SAFE);
+            sent.countDown();
+            assertTrue(told() <= TIME_MS - BUSY_MS);
+        }
+    }
+
+    /** A connection that comes up late takes its time from what is told, for it is the client's. */
+    @Test
+    void theTimeThatAnAttemptWaitedForItsConnectionIsOver() throws IOException, InterruptedException {
+        start();
+        module.server = null;
+        try (Client client = new Client(at)) {
+            client.send(SAFE);
+            module.requests.take();
+            onLoop(() -> {
+                module.actions.send("1", "s1", 0);
+                busy();                             // the connection is up meanwhile, and nobody looks
+            });
+            int told = told();
+            assertTrue(told <= TIME_MS - BUSY_MS, "told " + told);
+        }
+    }
+
+    /** Sent ahead: its time runs while the one before it is answered. */
+    @Test
+    void theTimeThatARequestWaitedBehindAnotherIsOver() throws IOException, InterruptedException {
+        start();
+        try (Client client = new Client(at)) {
+            client.send(SAFE + SAFE.replace("Req-Id: r1", "Req-Id: r2"));
+            FakeUpstream.Got first = upstream.next();
+            busy();
+            first.answer(200, "", "ok");
+            assertTrue(told() <= TIME_MS - BUSY_MS);
+        }
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
