--- a/balancer/src/test/java/junctionhead/MainTest.java
+++ b/balancer/src/test/java/junctionhead/MainTest.java
@@ -14,6 +14,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -23,6 +24,15 @@
 class MainTest {
     private static final String JAVA = Path.of(System.getProperty("java.home"), "bin", "java").toString();
 
+    private static final List<Process> STARTED = new ArrayList<>();
+
+    /** A test that fails half-way leaves no process behind. */
+    @AfterEach
+    void end() {
+        STARTED.forEach(Process::destroyForcibly);
+        STARTED.clear();
+    }
+
     private record Run(int exit, String out, String err) { }
 
     private static Run run(String input, String... arguments) throws IOException, InterruptedException {
@@ -245,7 +255,9 @@
             builder.environment().put("ROUTER_CONFIG", config);
         }
         builder.environment().put("ROUTER_NAME", "n1");
-        return builder.start();
+        Process process = builder.start();
+        STARTED.add(process);
+        return process;
     }
 
     @Test
