Let a test wait until a pipe has been read before it writes to it again

Seen: sighupDuringTheStartEndsNothingAndIsMadeUpFor timed out twice today on a busy machine. Cause: where the second text was written before the reader had seen the end of the first, both were read as one file, and the second look at the pipe waited for good. Change: the test waits until the process has closed the pipe; what it asks for is unchanged.

--- a/balancer/src/main/java/junctionhead/net/Polls.java
+++ b/balancer/src/main/java/junctionhead/net/Polls.java
@@ -7,8 +7,8 @@
 
 /**
  * How long what is read now may have lain unread: the loop asks the system for what has come once a round, and what it
- * reads in a round had not come by the round before. A client's time runs from when it sent, so where rounds are long, as
- * on a slow core right after a start, that is less than what its request says. One loop's, and on its thread.
+ * reads in a round had not come by the round before. A client's time runs from when it sent, so where rounds are long,
+ * as on a slow core right after a start, that is less than what its request says. One loop's, and on its thread.
  */
 final class Polls implements SelectStrategyFactory, SelectStrategy {
     private final LongSupplier nanos;
--- a/balancer/src/test/java/junctionhead/MainTest.java
+++ b/balancer/src/test/java/junctionhead/MainTest.java
@@ -10,7 +10,9 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -156,6 +158,7 @@
                 hangup(process);
                 config.write(text);
             }
+            awaitClosed(process, file);                 // else what comes next would be read as the same file's
             // Waits until it is read once more; without a reader it would wait for good, so the process must live.
             process.onExit().thenRun(() -> drainTo(file));
             Files.writeString(file, text.replace("127.0.0.1:9\"", "127.0.0.1:7\""));
@@ -208,6 +211,20 @@
         Files.delete(config);
     }
 
+    private static void awaitClosed(Process process, Path file) throws IOException {
+        boolean open = true;
+        while (open && process.isAlive()) {
+            open = false;
+            try (DirectoryStream<Path> all = Files.newDirectoryStream(Path.of("/proc/" + process.pid() + "/fd"))) {
+                for (Path fd : all) {
+                    open |= Files.isSymbolicLink(fd) && Files.readSymbolicLink(fd).equals(file);
+                }
+            } catch (NoSuchFileException e) {
+                open = true;                            // one was closed while they were looked at
+            }
+        }
+    }
+
     private static void drainTo(Path fifo) {
         try {
             Files.readString(fifo);
