--- a/lab/src/main/java/junctionhead/lab/fleet/Churn.java
+++ b/lab/src/main/java/junctionhead/lab/fleet/Churn.java
@@ -48,7 +48,8 @@
 
     /** All that happens in that time (µs), in order; what has not come to its end by then stays as it is. */
     List<Event> events(long length) {
-        PriorityQueue<Step> due = new PriorityQueue<>(Comparator.comparingLong(Step::at).thenComparingLong(Step::order));
+        PriorityQueue<Step> due =
+            new PriorityQueue<>(Comparator.comparingLong(Step::at).thenComparingLong(Step::order));
         begin(due, length, What.MACHINE, rates.machines());
         begin(due, length, What.RACK, rates.racks());
         begin(due, length, What.ZONE, rates.zones());
--- a/lab/src/main/java/junctionhead/lab/fleet/Clocks.java
+++ b/lab/src/main/java/junctionhead/lab/fleet/Clocks.java
@@ -31,8 +31,8 @@
 
     /** Milliseconds that this process has stood still for collection. */
     static double collected() {
-        return ManagementFactory.getGarbageCollectorMXBeans().stream().mapToLong(g -> Math.max(0, g.getCollectionTime()))
-            .sum();
+        return ManagementFactory.getGarbageCollectorMXBeans().stream()
+            .mapToLong(g -> Math.max(0, g.getCollectionTime())).sum();
     }
 
     /** Bytes of heap in use when all that is garbage has gone. */
--- a/lab/src/main/java/junctionhead/lab/fleet/FleetResults.java
+++ b/lab/src/main/java/junctionhead/lab/fleet/FleetResults.java
@@ -56,7 +56,10 @@
     static Fit fit(List<ScalePoint> of, String figure) {
         List<ScalePoint> has = with(of, figure);
         boolean some = has.stream().anyMatch(p -> p.figures().get(figure) != 0);
-        return has.size() < FITTED || !some || figure.equals(FleetRun.LOAD) ? null : Fit.of(has.stream().mapToDouble(ScalePoint::size).toArray(),
+        if (has.size() < FITTED || !some || figure.equals(FleetRun.LOAD)) {
+            return null;
+        }
+        return Fit.of(has.stream().mapToDouble(ScalePoint::size).toArray(),
             has.stream().mapToDouble(p -> p.figures().get(figure)).toArray());
     }
 
--- a/lab/src/main/java/junctionhead/lab/fleet/RealBalancers.java
+++ b/lab/src/main/java/junctionhead/lab/fleet/RealBalancers.java
@@ -40,7 +40,8 @@
      */
     RealBalancers(Path root) throws IOException {
         this.root = root;
-        this.run = new TomlMapper().readTree(Files.readString(root.resolve("deploy/balancer.toml"))).get("run").asText();
+        this.run = new TomlMapper().readTree(Files.readString(root.resolve("deploy/balancer.toml"))).get("run")
+            .asText();
         Runtime.getRuntime().addShutdownHook(end);          // also on Ctrl-C: no process and no file stays
     }
 
