--- a/lab/src/main/java/junctionhead/lab/fleet/FleetRun.java
+++ b/lab/src/main/java/junctionhead/lab/fleet/FleetRun.java
@@ -241,6 +241,7 @@
         figures.put(window + "_received_per_watch_bytes_per_s", c.bytesOut() / seconds / (many + plan.fleet().real()));
         figures.put(window + "_messages_per_watch_per_s", c.messages() / seconds / (many + plan.fleet().real()));
         figures.put(window + "_cpu_per_balancer_percent", (to.hollow - from.hollow) / seconds / many * 100);
+        figures.put(window + "_loops_busy_percent", (to.hollow - from.hollow) / seconds / plan.fleet().loops() * 100);
         figures.put(window + "_allocated_per_balancer_bytes_per_s", (to.allocated - from.allocated) / seconds / many);
         figures.put(window + "_stood_still_ms", to.collected - from.collected);
         figures.put(window + "_discovery_cpu_percent", (to.standIn - from.standIn) / seconds * 100);
