--- a/lab/src/main/java/junctionhead/lab/fleet/FleetRun.java
+++ b/lab/src/main/java/junctionhead/lab/fleet/FleetRun.java
@@ -370,6 +370,7 @@
         FleetPlan.Outage o = plan.outage();
         fleet.begin();
         discovery.forgetPeak();
+        double still = Clocks.collected();
         StandInDiscovery.Counts before = discovery.counts();
         try (Publisher publisher = new Publisher(discovery, machines, plan.churn(), plan.seed() + 1)) {
             switch (o.kind()) {
@@ -380,7 +381,10 @@
             publisher.start(o.length());
             TimeUnit.MICROSECONDS.sleep(o.length());
             await(publisher::over, o.length());
+            figures.put("outage_published_late_most_ms", publisher.lateMicros() / 1e3);
+            figures.put("outage_changes_count", (double) publisher.published());
         }
+        figures.put("outage_stood_still_ms", Clocks.collected() - still);
         StandInDiscovery.Counts during = discovery.counts().since(before);
         figures.put("outage_during_calls_count", (double) (during.calls() + during.refused() + during.silent()));
         figures.put("outage_during_calls_peak_per_s", (double) during.peakPerSecond());
