Fit no line through fleets that never got their list

Need: at 50,000 upstreams and more the client refuses the list, and the cost of asking in vain bent every slope.

--- a/lab/src/main/java/junctionhead/lab/fleet/FleetRun.java
+++ b/lab/src/main/java/junctionhead/lab/fleet/FleetRun.java
@@ -49,6 +49,7 @@
     private final Path root;
     private final Map<String, Double> figures = new TreeMap<>();
     private final List<String> missed = new ArrayList<>();
+    private boolean listed;                             // all have their first list
 
     /** {@code root}: of the project, for the run line. */
     FleetRun(FleetPlan plan, Path root) {
@@ -74,15 +75,15 @@
                     HollowFleet fleet = new HollowFleet(plan, discovery);
                     RealBalancers real = plan.fleet().real() > 0 ? new RealBalancers(root) : null) {
                 figures.put("list_bytes", (double) discovery.listBytes());
-                boolean listed = start(discovery, fleet);
+                listed = start(discovery, fleet);
                 List<BalancerProcess> processes = real == null ? List.of() : start(real, discovery, machines);
                 idle(discovery, fleet, processes);
                 churn(discovery, fleet, processes, machines, upstream.addresses());
                 if (plan.restart() != null) {
-                    restart(discovery, fleet, listed);
+                    restart(discovery, fleet);
                 }
                 if (plan.outage() != null) {
-                    outage(discovery, fleet, machines, listed);
+                    outage(discovery, fleet, machines);
                 }
                 for (BalancerProcess p : processes) {
                     complaints(p, "a real balancer", missed);
@@ -115,34 +116,34 @@
         StandInDiscovery.Counts counts = discovery.counts();
         long began = System.nanoTime();
         fleet.add(half);
-        boolean listed = reached(fleet, half, discovery.rev(), "the first list");
+        boolean have = reached(fleet, half, discovery.rev(), "the first list");
         double atHalf = Clocks.retained();
         long again = System.nanoTime();
         if (all > half) {
             fleet.add(all - half);
-            listed &= reached(fleet, all, discovery.rev(), "the first list");
+            have &= reached(fleet, all, discovery.rev(), "the first list");
         }
-        double millis = (listed ? System.nanoTime() - again : Double.NaN) / MS;
+        double millis = (have ? System.nanoTime() - again : Double.NaN) / MS;
         StandInDiscovery.Counts start = discovery.counts().since(counts);
         figures.put("start_calls_count", (double) start.calls());
         figures.put("start_seconds_s", (System.nanoTime() - began) / 1e9);
-        if (listed) {
+        if (have) {
             figures.put("start_half_listed_ms", millis);
         }
         int more = all > half ? all - half : half;
         double each = (Clocks.retained() - (all > half ? atHalf : before)) / more - ofWatch;
         figures.put("heap_per_watch_of_discovery_bytes", ofWatch);
-        if (listed && (long) more * plan.fleet().upstreams() >= SEEN) {
+        if (have && (long) more * plan.fleet().upstreams() >= SEEN) {
             figures.put("heap_per_balancer_bytes", each);
         }
-        if (listed) {
+        if (have) {
             figures.put("entries_held_count", (double) fleet.up().stream().mapToInt(Integer::intValue).sum());
         }
         Tally tally = fleet.tally();
         if (tally.unread > 0) {
             missed.add("hollow balancers could not read " + tally.unread + " lists, last: " + tally.complaint);
         }
-        return listed;
+        return have;
     }
 
     // Classes that a first balancer loads, and threads that it wakes, are no heap of the next.
@@ -234,7 +235,9 @@
             Clocks.collected());
     }
 
-    private StandInDiscovery.Counts figure(String window, Mark from, Mark to) {
+    // What a fleet without its list costs is another figure, and no line goes through both.
+    private StandInDiscovery.Counts figure(String name, Mark from, Mark to) {
+        String window = (listed ? "" : "unlisted_") + name;
         double seconds = (to.at - from.at) / 1e9;
         int many = plan.fleet().balancers();
         StandInDiscovery.Counts c = to.counts.since(from.counts);
@@ -289,7 +292,7 @@
         figures.put("changes_count", (double) changes);
         figures.put("published_late_most_ms", publisher.lateMicros() / 1e3);
         figures.put("changed_entries_count", (double) publisher.entries());
-        if (changes > 0) {
+        if (changes > 0 && listed) {
             double pairs = (double) changes * fleet.size();
             double idle = figures.get("idle_cpu_per_balancer_percent") / 100 * fleet.size() * (to.at - from.at) / 1e9;
             figures.put("cpu_per_change_us", Math.max(0, to.hollow - from.hollow - idle) * 1e6 / pairs);
@@ -341,7 +344,7 @@
 
     // ---- trouble
 
-    private void restart(StandInDiscovery discovery, HollowFleet fleet, boolean listed) throws InterruptedException {
+    private void restart(StandInDiscovery discovery, HollowFleet fleet) throws InterruptedException {
         discovery.forgetPeak();
         StandInDiscovery.Counts before = discovery.counts();
         long began = System.nanoTime();
@@ -365,7 +368,7 @@
         figures.put(what + "_failed_in_balancers_count", (double) tally.failed);
     }
 
-    private void outage(StandInDiscovery discovery, HollowFleet fleet, Machines machines, boolean listed)
+    private void outage(StandInDiscovery discovery, HollowFleet fleet, Machines machines)
             throws InterruptedException {
         FleetPlan.Outage o = plan.outage();
         fleet.begin();
