--- a/lab/src/main/java/junctionhead/lab/fleet/Host.java
+++ b/lab/src/main/java/junctionhead/lab/fleet/Host.java
@@ -43,7 +43,7 @@
             all.add(String.format(Locale.ROOT, "needs %.0f MB of memory, half of this machine's is %.0f MB",
                 need.bytes() / MB, memory / 2 / MB));
         } else if (need.bytes() - need.processes() * REAL_BYTES > heap * OLD) {
-            all.add(String.format(Locale.ROOT, "needs -Xmx%.0fm, which is %.0fm (LAB_JAVA_OPTS)",
+            all.add(String.format(Locale.ROOT, "needs -Xmx%.0fm, %.0fm may be used now (LAB_JAVA_OPTS)",
                 (need.bytes() - need.processes() * REAL_BYTES) / MB / OLD, heap / MB));
         }
         if (need.processes() > processes) {
