Let a watch that began with a list be silent for as long as any other

Cause: DiscoveryClient.read set its timer before the list had counted as the answer, so that the next line was waited for no longer than a call's answer (half of a grace). Change: the timer is set anew as the first answer is taken.

--- a/balancer/src/test/java/junctionhead/net/DiscoveryTest.java
+++ b/balancer/src/test/java/junctionhead/net/DiscoveryTest.java
@@ -178,6 +178,23 @@
         assertEquals(0, upstream.connections());
     }
 
+    /** A list is an answer as good as an empty line: from there on a watch may say nothing for as long as any other. */
+    @Test
+    @Timeout(60)
+    void aWatchThatBeganWithAListIsNotOpenedAnewBeforeTheNextLineIsDue() throws IOException, InterruptedException {
+        Map<String, Object> settings = settings();
+        settings.put("MembershipMode", "push");     // and the grace of the site: a call must be answered in half of it
+        node = new Node(config(1024, settings, 0), (s, seed) -> module, rehearse, line -> { });
+        node.start();
+        FakeUpstream.Got watch = discovery.next();
+        long before = System.nanoTime();
+        watch.raw(OPEN + chunk(list(42, true, "in_service")));
+        String line = discovery.next().line();      // nothing more is said: it is broken in the end
+        long silent = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - before);
+        assertEquals("GET /api/targets?watch=1&from=42 HTTP/1.1", line);
+        assertTrue(silent >= 2_900, "opened anew after " + silent + " ms, while a line comes every 2 s");
+    }
+
     /** A new configuration names another discovery: watched at once, and the old one's end is no failure. */
     @Test
     void aNewConfigurationMovesTheWatchAndKeepsTheListAndTheRequests()
--- a/discovery/src/main/java/junctionhead/discovery/DiscoveryClient.java
+++ b/discovery/src/main/java/junctionhead/discovery/DiscoveryClient.java
@@ -261,7 +261,10 @@
 
         private void news(Targets targets) {
             rev = targets.rev();
-            answered = true;
+            if (!answered) {
+                answered = true;
+                heard();                            // from here on the time between two lines counts
+            }
             ListKind kind = targets.all() ? ListKind.COMPLETE : ListKind.PARTIAL;
             news.accept(kind, watching ? targets.told(telling.told(clock.getAsLong())) : targets);
             if (!watching) {
