Wait for the bind in the test of a start, not only for what queues it

Cause: registering the listener queues its bind behind the test's one task where that was there first. Change: the test waits for a second task, behind the bind; what it asks for is unchanged.

--- a/balancer/src/test/java/junctionhead/net/LifeCycleTest.java
+++ b/balancer/src/test/java/junctionhead/net/LifeCycleTest.java
@@ -29,7 +29,8 @@
         Thread.currentThread().interrupt();
         assertThrows(IOException.class, node::start);
         assertTrue(Thread.interrupted());
-        node.loop().submit(() -> { }).get(20, TimeUnit.SECONDS);    // the bind has been carried out
+        node.loop().submit(() -> { }).get(20, TimeUnit.SECONDS);    // the listener is registered, which queues its bind
+        node.loop().submit(() -> { }).get(20, TimeUnit.SECONDS);    // and the bind has been carried out
         InetSocketAddress to = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
         try (Client client = new Client(to)) {
             assertEquals(503, client.send("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status());
