--- a/core/src/test/java/junctionhead/subset/SubsetTest.java
+++ b/core/src/test/java/junctionhead/subset/SubsetTest.java
@@ -104,7 +104,14 @@
     @Test
     void sharesOfABudgetAddUpAtOneLevel() {
         for (int level = 0; level <= 6; level++) {
-            assertTrue(unevenness(FLEET, level, rank -> true) < 1.06);
+            for (long part = 0; part < 1L << level; part++) {
+                long hash = level == 0 ? 0 : part << 64 - level;
+                double sum = 0;
+                for (int rank = 0; rank < FLEET; rank++) {
+                    sum += at(rank, level).holds(hash) ? (1L << level) / (double) FLEET : 0;
+                }
+                assertTrue(sum > 0.94 && sum < 1.06, "level " + level + ", part " + part + ": " + sum);
+            }
         }
     }
 
