--- a/lab/src/main/java/junctionhead/lab/report/JsonReport.java
+++ b/lab/src/main/java/junctionhead/lab/report/JsonReport.java
@@ -6,14 +6,20 @@
 import java.io.File;
 import java.io.IOException;
 import java.util.List;
+import java.util.stream.DoubleStream;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 import junctionhead.lab.experiment.Expectation;
 import junctionhead.lab.experiment.Results;
 import junctionhead.lab.judge.Broken;
+import junctionhead.lab.judge.Day;
+import junctionhead.lab.judge.Score;
 import junctionhead.lab.stats.Interval;
 
 /** Results as JSON: nothing in it depends on the machine, the time of day or the number of threads. */
 public final class JsonReport {
     private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final double THOUSAND = 1_000;
 
     private JsonReport() { }
 
@@ -41,6 +47,10 @@
                     interval(figure.putObject("more_than_first"), r.difference(f, v, variants.get(0)));
                 }
             }
+            ArrayNode days = node.putArray("days");
+            for (Day day : r.days().get(v)) {
+                series(days.addObject(), day.series());
+            }
             ArrayNode broken = node.putArray("broken");
             for (Broken b : r.broken(v)) {
                 ObjectNode entry = broken.addObject().put("rule", b.rule().name()).put("at_us", b.at())
@@ -56,6 +66,18 @@
         return root;
     }
 
+    private static void series(ObjectNode node, Score.Series series) {
+        ArrayNode worth = node.putArray("worth");
+        DoubleStream.of(series.worth()).forEach(share -> worth.add(Math.round(share * THOUSAND) / THOUSAND));
+        LongStream.of(series.arrivals()).forEach(node.putArray("arrivals")::add);
+        LongStream.of(series.attempts()).forEach(node.putArray("attempts")::add);
+        LongStream.of(series.refusals()).forEach(node.putArray("refusals")::add);
+        ArrayNode held = node.putArray("held");
+        for (int[] upstreams : series.held()) {
+            held.add(IntStream.of(upstreams).filter(requests -> requests > 0).sum());
+        }
+    }
+
     private static ObjectNode interval(ObjectNode node, Interval i) {
         node.put("mean", i.mean());
         if (!Double.isNaN(i.halfWidth())) {
