--- a/core/src/main/java/junctionhead/policy/Balance.java
+++ b/core/src/main/java/junctionhead/policy/Balance.java
@@ -38,6 +38,8 @@
     // The subset of a balancer, or of a key: as few as sampling needs, more where traffic keeps them in view.
     private static final int SUBSET = 6;
     private static final double SUBSET_VISITS = 1.5;    // s between a balancer's requests to one server
+    private static final double PENDING = 0.5;          // of its aim that a request may wait and say nothing
+    private static final int KEYED_FLEET = 2_048;       // servers that a balancer can keep connections to
     private static final double DEAR_VISITS = 0.5;      // the same where new connections have a price
     private static final int KEY_SUBSET = 3;            // a key's servers are all sampled
     private static final int REACH = 4;                 // times as many where only the own zone's count
@@ -51,21 +53,10 @@
     private static final long UNTRIED = 1_500_000;      // µs that one which has just started waits at most
     private static final int TRIALS_OK = 3;             // successes in a row, one at a time, that end a trial
     private static final double SILENCE = 3; // silent for this multiple of the usual latency: stalled
-    // Shedding: the mean of latency / aim steers which share of the arrivals is turned away, cheapest first.
-    private static final double STRAIN_CHEAP = 0.40;    // above it the cheapest requests are turned away
-    private static final double STRAIN_DEAR = 0.60;     // and above it the most valuable too
-    private static final double STRAIN_MOST = 1.2;      // one answer counts no more than this
-    private static final double FULL_STRAIN = 1.5;      // that an attempt turned away counts as
-    private static final double FORGET = 2e6;           // µs without news after which strain is forgotten
-    private static final double GAIN = 2.0;             // share of arrivals, per second and unit of strain
-    private static final double RETURN = 3;             // times as fast calm lets requests in again
-    private static final double CHEAP_RETURN = 0.5;     // the same for over-share traffic, times its worth
-    private static final double SHARE_LEAST = 0.1;      // of arrivals that a tier is taken for at least
-    private static final double CHEAP = 0.3;            // over-share worth: at a start turned away
+    // What clients are told that are turned away.
     private static final double COME_LEAST = 2e4;       // µs that a client is asked to stay away
     private static final double COME_LEVEL = 1e5;       // and more for each tier that is turned away
     private static final double COME_SPREAD = 0.25;
-    private static final int KNOWN = 8;                 // answers that the strain is a mean of at least
     private static final double SMOOTH = 0.03;          // weight of one answer in a class's usual latency
     // Work sent to a cold server, as a share of what a warm one of like weight takes at the same coldness.
     private static final double COLD_MARGIN = 1.6;
@@ -116,12 +107,8 @@
     private double shortestUsual;                       // µs, the least of the classes' usual latencies
     private int inFlight;
     private double[] tiers;                       // the distinct worths of requests, ascending
-    private double[] asked;                       // faded arrivals of each tier
     private double hedgeLevel;                    // above it requests within their share are refused
-    private double level;                               // tiers turned away, the last of them in part
-    private double strain;                              // moving mean of latency / aim
-    private int answers;
-    private long strainAt;
+    private final Admission admission;
     private double turnedAway;                          // faded attempts that no server took
     private double arrivals;
     private double retryBudget = BUDGET_MOST;
@@ -142,11 +129,7 @@
         this.usual = freshUsual();
         this.meanWork = new double[usual.length];
         this.shortestUsual = Arrays.stream(usual).min().getAsDouble();
-        this.asked = new double[tiers.length];
-        double inShare = leastInShare();
-        while (tiers[(int) level] < Math.min(inShare, CHEAP * tiers[tiers.length - 1])) {
-            level++;
-        }
+        this.admission = new Admission(tiers, leastInShare(), random);
         this.shareTokens = new double[settings.tenants().size()];
         this.brought = new double[Math.max(1, settings.tenants().size())];
         this.shareAt = new long[settings.tenants().size()];
@@ -179,7 +162,6 @@
     // while requests of it are open.
     @Override
     public void reconfigure(long now, Settings next, int[] formerClasses, int[] formerTenants) {
-        double scaled = level / tiers.length;
         configure(next);
         int classes = formerClasses.length;
         int[] to = new int[usual.length];
@@ -209,10 +191,7 @@
         usual = latencies;
         meanWork = works;
         firstTry = tries;
-        if (asked.length != tiers.length) {
-            asked = new double[tiers.length];
-            level = Math.min(tiers.length - 0.05, scaled * tiers.length);
-        }
+        admission.retier(tiers, leastInShare());
         int tenants = formerTenants.length;
         double[] rates = new double[Math.max(1, tenants)];
         double[] tokens = new double[tenants];
@@ -322,7 +301,7 @@
         List<Node> fresh = new ArrayList<>();
         List<Node> tried = new ArrayList<>();
         double rate = arrivals / FADE * 1e6;
-        boolean keyed = settings.warmKeys() && r.key != 0 && rate * SUBSET_VISITS >= listed.size();
+        boolean keyed = settings.warmKeys() && r.key != 0 && listed.size() <= KEYED_FLEET;
         double visits = settings.prices().handshake() > 0 ? DEAR_VISITS : SUBSET_VISITS;
         int wanted = (int) (keyed ? Math.max(KEY_SUBSET, KEY_SPREAD * heat(r.key) * listed.size())
             : Math.max(SUBSET, rate * visits));
@@ -521,12 +500,12 @@
         }
         wakeBy(now, tick, out);
         retryBudget = Math.min(BUDGET_MOST, retryBudget + RETRY_SHARE);
-        if (shed(tierOf(r))) {
+        if (!admission.admits(tierOf(r))) {
             if (now >= remarkAt) {      // the text is not made up for each of many refusals
-                remark(now, String.format(Locale.ROOT, "overload: refusing, level %.2f, strain %.2f", level,
-                    strain), out);
+                remark(now, String.format(Locale.ROOT, "overload: refusing, level %.2f, score %.2f",
+                    admission.level(), admission.score()), out);
             }
-            finish(r, now, out);
+            end(r, out);
             return;
         }
         if (kind.inOrder() && key != null) {
@@ -561,33 +540,6 @@
         return Math.min(1, Math.max(1, ratios[(ratios.length - 1) / 2]) / settings.balancers());
     }
 
-    // Overload: turns away the tiers under the level, and a part of the one that it has reached.
-    private boolean shed(int tier) {
-        asked[tier]++;
-        return tier + random.nextDouble() < level;
-    }
-
-    // Moves the level by how far the strain is from what the tier on the edge may cause. Guards against
-    // queues in which all wait and all are late. Each balancer turns away a share of what it sees: a limit
-    // on attempts in flight, which for most balancers is about one, refused most of a calm day.
-    private void steer(double seconds) {
-        int edge = Math.min(tiers.length - 1, (int) level);
-        double worth = tiers[edge] / tiers[tiers.length - 1];
-        double bound = STRAIN_CHEAP + (STRAIN_DEAR - STRAIN_CHEAP) * worth;
-        double share = asked[edge] / Math.max(1, Arrays.stream(asked).sum());
-        double step = GAIN * seconds * (strain - bound) / Math.max(SHARE_LEAST, share);
-        // Over-share traffic returns slowly: what crowding costs outweighs a cheap request.
-        step = step > 0 ? step : step * (worth < CHEAP ? CHEAP_RETURN * worth : RETURN);
-        level = answers == 0 ? level : Math.max(0, Math.min(tiers.length - 0.05, level + step));
-    }
-
-    private void strained(double sample, long now) {
-        double news = 1 - Math.exp(-(now - strainAt) / QUICK);
-        double weight = Math.max(1.0 / ++answers, Math.min(1.0 / KNOWN, news));
-        strain += weight * (Math.min(STRAIN_MOST, sample) - strain);
-        strainAt = now;
-    }
-
     // Time gone since the client's first try, where a marked resubmission shows it. Each try gets the same
     // time, or what is left of the class's deadline: one with another time than first tries tells its age.
     private long spent(int requestClass, long timeLeft, boolean resubmission) {
@@ -626,7 +578,7 @@
     // Keeps a request for which no server may be used now; one whose time is all but over is answered.
     private void hold(Request r, long now, Actions out) {
         if (now >= r.deadline - 2 * tick) {
-            finish(r, now, out);
+            finish(r, out);
         } else if (!r.held) {
             r.held = true;
             List<Request> queue = held.get(r.last ? 1 : 0);
@@ -710,7 +662,15 @@
         }
     }
 
-    private void finish(Request r, long now, Actions out) {
+    // Gives up a request that was admitted.
+    private void finish(Request r, Actions out) {
+        if (!r.overloaded) {
+            admission.completed();
+        }
+        end(r, out);
+    }
+
+    private void end(Request r, Actions out) {
         r.closed = true;
         boolean harmless = firstThatMayHaveRun(r) == null || r.kind.effect() == Effect.SAFE
             || r.kind.effect() == Effect.KEYED && r.kind.scope() == Scope.ALL;
@@ -726,7 +686,8 @@
     // come again at once and feed the overload that turned them away.
     private long comeBackAfter() {
         double spread = 1 + COME_SPREAD * (2 * advice.nextDouble() - 1);
-        return (long) Math.min(settings.limits().retryAfterMax(), (COME_LEAST + COME_LEVEL * level) * spread);
+        double wait = (COME_LEAST + COME_LEVEL * admission.level()) * spread;
+        return (long) Math.min(settings.limits().retryAfterMax(), wait);
     }
 
     private void forget(Request r) {
@@ -748,6 +709,7 @@
         Attempt a = r.attempts.get(attempt);
         a.out = false;
         a.mayHaveRun = !outcome.neverRan();
+        r.overloaded = outcome == Outcome.FULL || outcome == Outcome.TIMEOUT;
         turnedAway += outcome.neverRan() ? 1 : 0;
         r.out--;
         a.node.inFlight--;
@@ -780,7 +742,7 @@
         boolean allowed = outcome.neverRan() || r.kind.effect() != Effect.UNSAFE && retryBudget >= 1;
         if (!allowed || outcome == Outcome.NOT_SENT || r.attempts.size() >= r.attemptsMost
             || now >= (r.kind.effect() == Effect.SAFE ? r.deadline : r.aimAt) - tick) {
-            finish(r, now, out);
+            finish(r, out);
             return;
         }
         if (!outcome.neverRan()) {
@@ -868,7 +830,8 @@
                     n.fails = 0;
                     remark(now, "recovered " + n.server.id(), out);
                 }
-                strained(latency / (double) kind.aim(), now);
+                admission.completed();
+                admission.latency(latency / (double) kind.aim());
             }
             case CANCELLED -> {         // the copy came first, or the client left
                 if (latency > 2 * usually) {    // its server may well be at it still
@@ -882,12 +845,12 @@
                 failed(n, now - n.lastOk > QUICK ? 0.5 : 0, (long) usual[number], now, out);
                 // It answers in no time, so it would win again and again while its queue is longest of all.
                 n.fullUntil = now + (long) (usual[number] * (0.5 + random.nextDouble()));
-                strained(FULL_STRAIN, now);
+                admission.overloaded();
             }
             // A time-out may be the fault of the load: it takes more of them.
             case TIMEOUT -> {
                 slowed(n, latency / usually, now);
-                strained(STRAIN_MOST, now);
+                admission.overloaded();
                 failed(n, 0.5, (long) (2 * usual[number]), now, out);
             }
             default -> failed(n, 1, (long) (2 * usual[number]), now, out);
@@ -937,17 +900,13 @@
         scale /= Math.max(keep, 1 / GAIN_MOST);
         arrivals *= keep;
         turnedAway *= keep;
-        fade(asked, keep);
         fade(brought, keep);
         if (now >= refreshAt) {
             refresh(now);
         }
         shortestUsual = Arrays.stream(usual).min().getAsDouble();
         ownMean += (1 - Math.exp(-(now - fadedAt) / QUICK)) * (inFlight - ownMean);
-        if (now - strainAt > FORGET) {
-            strain *= Math.exp(-(now - fadedAt) / FORGET);
-        }
-        steer((now - fadedAt) / 1e6);
+        admission.update(now - fadedAt, arrivals / FADE * 1e6, pending(now));
         fadedAt = now;
         drainHeld(now, out);
         for (List<Request> queue : held) {
@@ -955,7 +914,7 @@
                 sweep(r, now, out);
             }
         }
-        if (settings.limits().mayDuplicate() && level < hedgeLevel && turnedAway <= HEDGE_FULL * arrivals) {
+        if (settings.limits().mayDuplicate() && admission.level() < hedgeLevel && turnedAway <= HEDGE_FULL * arrivals) {
             open.values().forEach(r -> hedge(r, now, out));
         }
         if (asking.due(now)) {
@@ -964,6 +923,15 @@
         wakeBy(now, open.isEmpty() ? REFRESH : tick, out);
     }
 
+    // Requests that wait for an answer for no longer than one may well take: overload does not show in them.
+    private int pending(long now) {
+        int pending = 0;
+        for (Request r : open.values()) {
+            pending += !r.closed && now - r.arrived < r.kind.aim() * PENDING ? 1 : 0;
+        }
+        return pending;
+    }
+
     private void wakeBy(long now, long delay, Actions out) {
         if (now + delay < wakeAt) {
             wakeAt = now + delay;
@@ -982,7 +950,7 @@
         long until = r.deadline - 2 * tick;
         if (now >= (r.attempts.isEmpty() ? Math.min(until, latestStart(r)) : until)) {
             unhold(r);
-            finish(r, now, out);
+            finish(r, out);
         }
     }
 
@@ -994,10 +962,10 @@
         all.put("usual", usual.clone());
         all.put("work", meanWork.clone());
         all.put("first", Arrays.stream(firstTry).asDoubleStream().toArray());
-        all.put("asked", asked.clone());
+        all.put("admission", admission.learnt());
         all.put("brought", brought.clone());
         all.put("share", shareTokens.clone());
-        all.put("own", new double[] {level, strain, answers, arrivals, turnedAway, retryBudget, ownMean});
+        all.put("own", new double[] {arrivals, turnedAway, retryBudget, ownMean});
         for (Node n : nodes.values()) {
             all.put("server " + n.server.id(), n.learnt(now, scale, slowness(n, now)));
         }
@@ -1008,7 +976,7 @@
     public void resume(long now, Map<String, double[]> learnt) {
         take(learnt.get("usual"), usual);
         take(learnt.get("work"), meanWork);
-        take(learnt.get("asked"), asked);
+        admission.resume(learnt.get("admission"));
         take(learnt.get("brought"), brought);
         take(learnt.get("share"), shareTokens);
         double[] first = new double[firstTry.length];
@@ -1016,16 +984,12 @@
         for (int i = 0; i < first.length; i++) {
             firstTry[i] = Math.max(firstTry[i], (long) first[i]);
         }
-        double[] own = new double[7];
+        double[] own = new double[4];
         if (take(learnt.get("own"), own)) {
-            level = Math.max(0, Math.min(tiers.length - 0.05, own[0]));
-            strain = own[1];
-            strainAt = now;
-            answers = (int) own[2];
-            arrivals = own[3];
-            turnedAway = own[4];
-            retryBudget = Math.min(BUDGET_MOST, own[5]);
-            ownMean = own[6];
+            arrivals = own[0];
+            turnedAway = own[1];
+            retryBudget = Math.min(BUDGET_MOST, own[2]);
+            ownMean = own[3];
         }
         for (Node n : nodes.values()) {
             n.resume(learnt.get("server " + n.server.id()), now, scale);
--- a/core/src/main/java/junctionhead/policy/Books.java
+++ b/core/src/main/java/junctionhead/policy/Books.java
@@ -110,6 +110,7 @@
         boolean closed;
         boolean held;
         boolean streaming;
+        boolean overloaded;                             // its last attempt ended for want of capacity
         Turn turn;                                      // null where no order is asked for
 
         Request(String id, int number, RequestClass kind, long key, long arrived, long timeLeft, long aimAt,
--- a/core/src/test/java/junctionhead/policy/LearnedTest.java
+++ b/core/src/test/java/junctionhead/policy/LearnedTest.java
@@ -5,8 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.IntStream;
 import junctionhead.policy.Policy.Discovery;
 import junctionhead.policy.Policy.Effect;
@@ -14,6 +16,8 @@
 import junctionhead.policy.Policy.Outcome;
 import junctionhead.policy.Policy.Scope;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** One test for each failure found: it fails without the answer to it in Rules. */
 class LearnedTest {
@@ -443,6 +447,57 @@
         assertTrue(hot >= 8 && cold <= 5, "hot on " + hot + ", cold on " + cold);
     }
 
+    @ParameterizedTest
+    @EnumSource(value = Outcome.class, names = {"NOT_SENT", "CONNECT_FAILED", "RESET", "ERROR"})
+    void requestsThatFailedForOtherReasonsThanLoadCloseNoDoor(Outcome outcome) {
+        // 200 that found no descriptor in a moment were taken for demand that the servers can't meet.
+        Harness harness = harness(6, UNSAFE);
+        serve(harness, 20, 20_000, Map.of());
+        for (int i = 0; i < 200; i++) {
+            Harness.Sent sent = harness.request("failed" + i, 0);
+            for (int more = 0; more < 9 && sent != null; more++) {
+                harness.end(sent, outcome);
+                sent = harness.sends.stream().filter(s -> !s.ended).findFirst().orElse(null);
+            }
+            harness.pass(1_000);
+        }
+        harness.pass(200_000);                          // all servers look bad, so all are used
+        int before = harness.sends.size();
+        harness.request("after", 0);
+        assertTrue(harness.sends.size() > before, "the next is sent");
+    }
+
+    @Test
+    void aTimeWithoutServersClosesNoDoor() {
+        Harness harness = holding(UNSAFE);
+        for (int i = 0; i < 200; i++) {
+            harness.request("held" + i, 0);
+            harness.pass(10_000);
+        }
+        harness.pass(Harness.DEADLINE);
+        harness.list(ListKind.PARTIAL, Harness.fleet(3));
+        for (int i = 0; i < 5; i++) {
+            assertTrue(harness.request("after" + i, 0) != null, "sent as soon as there are servers");
+        }
+    }
+
+    @Test
+    void balancersOfThinTrafficSendAKeyToTheSameFewServers() {
+        // A hundred balancers, each with a few requests a second, sent every key to all servers: none of them knew it.
+        Policy.Settings s = Harness.settings(SAFE);
+        Set<String> used = new HashSet<>();
+        for (int rank = 0; rank < 100; rank++) {
+            Harness harness = new Harness(new Policy.Settings(100, rank, 0, s.classes(), List.of(), 0.1, s.goal(),
+                s.prices(), true, s.discovery(), s.reports(), true, s.limits(), s.bounds(), s.tick()), 3 + rank)
+                .list(ListKind.PERSISTED, Harness.fleet(60));
+            Harness.Sent sent = harness.keyed("r" + rank, 0, "key");
+            harness.pass(30_000);
+            harness.end(sent, Outcome.OK);
+            used.add(sent.server);
+        }
+        assertTrue(used.size() <= 3, "one key went to " + used.size() + " servers");
+    }
+
     private static long servers(Harness harness, int first, int step) {
         return harness.sends.stream().filter(x -> Integer.parseInt(x.request.substring(1)) % step == first)
             .map(x -> x.server).distinct().count();
