--- a/balancer/src/main/java/junctionhead/net/Client.java
+++ b/balancer/src/main/java/junctionhead/net/Client.java
@@ -31,7 +31,7 @@
  * One connection of a client: its requests one after the other, each one's answer in turn, and how long it
  * may take over anything.
  */
-final class Client extends ChannelInboundHandlerAdapter implements Intake.Taker {
+final class Client extends ChannelInboundHandlerAdapter implements RequestReader.Taker {
     // A client is owed an error or a close within 3 s: the look at all clients comes on top of these.
     private static final long RECEIVE = TimeUnit.MILLISECONDS.toNanos(2_400);   // a whole request
     private static final long SILENT = TimeUnit.MILLISECONDS.toNanos(2_200);    // before the first one
@@ -47,7 +47,7 @@
 
     private final ClientServer server;
     private final Channel channel;
-    private final Intake intake;
+    private final RequestReader requests;
     private final RequestDecoder decoder = new RequestDecoder();
     private final ArrayDeque<Taken> ahead = new ArrayDeque<>();
     private RequestRules.Problem problem;           // the last answer to give, when its turn comes
@@ -70,8 +70,8 @@
     Client(ClientServer server, Channel channel) {
         this.server = server;
         this.channel = channel;
-        this.intake = new Intake(this, server.room());
-        channel.pipeline().addLast(new Mark(), decoder, new HttpResponseEncoder(), intake, this);
+        this.requests = new RequestReader(this, server.room());
+        channel.pipeline().addLast(new Mark(), decoder, new HttpResponseEncoder(), requests, this);
     }
 
     boolean asked() {
@@ -134,7 +134,7 @@
     }
 
     void closed() {
-        intake.drop();
+        requests.drop();
         server.room().give(charged);
         charged = 0;
         dropAhead();
@@ -232,7 +232,7 @@
     // Guards against hundreds of requests sent at once behind a bad one: they are not even looked at.
     private void readNoMore(HttpResponseStatus status, String why) {
         asked = true;
-        intake.drop();
+        requests.drop();
         problem = new RequestRules.Problem(status, why);
         channel.pipeline().replace(decoder, null, new Drain());
     }
--- a/balancer/src/main/java/junctionhead/net/DryRun.java
+++ b/balancer/src/main/java/junctionhead/net/DryRun.java
@@ -29,7 +29,7 @@
     private DryRun() { }
 
     public static void main(String[] args) throws IOException, InterruptedException {
-        Hangup hangup = Hangup.take();
+        ReloadSignal hangup = ReloadSignal.take();
         if (hangup != null) {
             hangup.onEach(() -> { });
         }
--- a/balancer/src/main/java/junctionhead/net/Node.java
+++ b/balancer/src/main/java/junctionhead/net/Node.java
@@ -24,7 +24,7 @@
 import junctionhead.discovery.DiscoveryClient;
 import junctionhead.discovery.Holding;
 import junctionhead.discovery.Membership;
-import junctionhead.discovery.MoreParts;
+import junctionhead.discovery.PartialListRetry;
 import junctionhead.discovery.Targets;
 import junctionhead.drain.TakenOut;
 import junctionhead.handover.InheritedListener;
@@ -106,7 +106,7 @@
         dispatcher.attach(upstreams, discovery);
         membership = new Membership(holding, new TakenOut(), dispatcher::now, dispatcher::listed);
         holding.onChange(h -> dispatcher.holdsPart(h));
-        new MoreParts(loop, membership, discovery, config.seed());
+        new PartialListRetry(loop, membership, discovery, config.seed());
         clients.note(holding::summary);
         admin = new AdminListener(loop, onCall);
         link = new PeerLink(loop, platform.folder(), succession, log::accept);
@@ -222,15 +222,15 @@
 
     /** Runs a balancer until it is told to stop; returns only if it can't start. */
     public static int serve(Map<String, String> environment) {
-        Hangup hangup = Hangup.take();          // first of all: until then it ends the process
+        ReloadSignal reloadSignal = ReloadSignal.take();          // first of all: until then it ends the process
         Provider.install();
         Log log = Log.to(LoggerFactory.getLogger("junctionhead"));
-        int code = serve(environment, hangup, log);
+        int code = serve(environment, reloadSignal, log);
         Provider.sink().drain(SAY_MS);
         return code;
     }
 
-    private static int serve(Map<String, String> environment, Hangup hangup, Log log) {
+    private static int serve(Map<String, String> environment, ReloadSignal reloadSignal, Log log) {
         Node node;
         InetSocketAddress at;
         try {
@@ -267,10 +267,10 @@
             // Without this the exit code would tell of the signal, not of the orderly end.
             Runtime.getRuntime().halt(0);
         }));
-        if (hangup.lack() != null) {
-            log.warn(hangup.lack(), "sighup", "ignored");
+        if (reloadSignal.lack() != null) {
+            log.warn(reloadSignal.lack(), "sighup", "ignored");
         }
-        hangup.onEach(() -> {
+        reloadSignal.onEach(() -> {
             node.reload(() -> Config.again(environment));
             if (operatorFile != null) {
                 node.operate(operatorFile, true);
--- a/balancer/src/main/java/junctionhead/net/Pool.java
+++ b/balancer/src/main/java/junctionhead/net/Pool.java
@@ -10,7 +10,7 @@
 import junctionhead.discovery.DiscoveryClient;
 import junctionhead.discovery.Holding;
 import junctionhead.discovery.Membership;
-import junctionhead.discovery.MoreParts;
+import junctionhead.discovery.PartialListRetry;
 import junctionhead.discovery.Targets;
 import junctionhead.drain.TakenOut;
 import junctionhead.logs.Log;
@@ -51,7 +51,7 @@
             : new DiscoveryClient(ground.loop, spec.discovery(), boot, holding, 0, dispatcher::now,
                 membership::listed, log::accept);
         if (discovery != null) {
-            new MoreParts(ground.loop, membership, discovery, seed);
+            new PartialListRetry(ground.loop, membership, discovery, seed);
         }
         dispatcher.attach(upstreams, discovery);
     }
--- a/balancer/src/main/java/junctionhead/net/Hangup.java
+++ b/balancer/src/main/java/junctionhead/net/ReloadSignal.java
@@ -12,19 +12,19 @@
  * says so only by the former handler that it returns. No flag of the JVM changes that, so the {@code run} line of the
  * deploy file undoes it before the JVM starts.
  */
-final class Hangup {
+final class ReloadSignal {
     private Runnable action;                        // null until the process can go by another configuration
     private boolean missed;
     private String lack;
 
-    private Hangup() { }
+    private ReloadSignal() { }
 
     /** Takes each SIGHUP from here on. */
-    static Hangup take() {
-        Hangup hangup = new Hangup();
+    static ReloadSignal take() {
+        ReloadSignal reloadSignal = new ReloadSignal();
         InvocationHandler handler = (proxy, method, arguments) -> switch (method.getName()) {
             case "handle" -> {
-                hangup.came();
+                reloadSignal.came();
                 yield null;
             }
             case "equals" -> proxy == arguments[0];
@@ -38,13 +38,13 @@
             Object former = signal.getMethod("handle", signal, type)
                 .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), proxy);
             if (type.getField("SIG_IGN").get(null).equals(former)) {
-                hangup.lack = "SIGHUP is ignored here, as under nohup: a new configuration needs a restart; begun with "
-                    + "'env --default-signal=HUP', as by the run line, the process takes it";
+                reloadSignal.lack = "SIGHUP is ignored here, as under nohup: a new configuration needs a restart; "
+                    + "begun with 'env --default-signal=HUP', as by the run line, the process takes it";
             }
         } catch (ReflectiveOperationException e) {
-            hangup.lack = "no SIGHUP here: a new configuration needs a restart";
+            reloadSignal.lack = "no SIGHUP here: a new configuration needs a restart";
         }
-        return hangup;
+        return reloadSignal;
     }
 
     /** Why none will ever come, and how settings are changed then; null where each is taken. */
--- a/balancer/src/main/java/junctionhead/net/Intake.java
+++ b/balancer/src/main/java/junctionhead/net/RequestReader.java
@@ -17,7 +17,7 @@
  * Puts a client's requests together, each whole and copied off the socket's buffers. What is too long, or
  * framed in a way that others may read otherwise, is refused as soon as that shows, and none of it is kept.
  */
-final class Intake extends SimpleChannelInboundHandler<HttpObject> {
+final class RequestReader extends SimpleChannelInboundHandler<HttpObject> {
     /** Whom it tells. After {@link #bad} nothing more comes. */
     interface Taker {
         /** A head has come that can be read; its body is to follow. */
@@ -43,7 +43,7 @@
     private long flowed;
     private boolean over;
 
-    Intake(Taker taker, Room room) {
+    RequestReader(Taker taker, Room room) {
         this.taker = taker;
         this.room = room;
     }
--- a/core/src/main/java/junctionhead/policy/Balance.java
+++ b/core/src/main/java/junctionhead/policy/Balance.java
@@ -11,14 +11,14 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.stream.DoubleStream;
-import junctionhead.policy.Books.Attempt;
-import junctionhead.policy.Books.Node;
-import junctionhead.policy.Books.Request;
-import junctionhead.policy.Books.Turn;
+import junctionhead.policy.BalanceState.Attempt;
+import junctionhead.policy.BalanceState.Node;
+import junctionhead.policy.BalanceState.Request;
+import junctionhead.policy.BalanceState.Turn;
 
 /**
  * Every decision of one balancer. The module's interface, its events, actions and types, is Policy.java;
- * what it writes down, plain data, is in Books.java.
+ * what it writes down, plain data, is in BalanceState.java.
  *
  * <p>The ordinary path is JSQ-DAS (Gardner and Stephens, "Smart Dispatching in Heterogeneous Systems"): see
  * {@link #draw}. All else says which servers are candidates for it (the exceptions), when a request is sent,
@@ -295,8 +295,9 @@
 
     // The subset: walks the ring from the request's point until enough servers are found that may take it.
     // Guards against connections that grow with the fleet, and counts and queues that say nothing because
-    // each server hears from this balancer once in a while only. Where it holds no server that may be used,
-    // as when its servers have failed or are cold, the walk goes on, over the whole list if need be.
+    // each server hears from this balancer once in a while only. A key's servers are the same for all balancers,
+    // however little of the key one of them sees: what all send keeps the key warm. Where no server of the subset
+    // may be used, as when they have failed or are cold, the walk goes on, over the whole list if need be.
     private List<Node> candidates(Request r, long now) {
         List<Node> fresh = new ArrayList<>();
         List<Node> tried = new ArrayList<>();
--- a/core/src/main/java/junctionhead/policy/Books.java
+++ b/core/src/main/java/junctionhead/policy/BalanceState.java
@@ -7,8 +7,8 @@
 import junctionhead.policy.Policy.Server;
 
 /** What a balancer writes down of servers, requests and attempts: plain data, for Balance only. */
-final class Books {
-    private Books() { }
+final class BalanceState {
+    private BalanceState() { }
 
     /** A server, as this balancer sees it. */
     static final class Node {
--- a/core/src/main/java/junctionhead/policy/HashRing.java
+++ b/core/src/main/java/junctionhead/policy/HashRing.java
@@ -4,7 +4,7 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.TreeMap;
-import junctionhead.policy.Books.Node;
+import junctionhead.policy.BalanceState.Node;
 
 /**
  * A ring of consistent hashing: each server stands at points that follow from its id alone, so that all balancers have
--- a/core/src/main/java/junctionhead/telling/Telling.java
+++ b/core/src/main/java/junctionhead/staleness/Staleness.java
@@ -1,4 +1,4 @@
-package junctionhead.telling;
+package junctionhead.staleness;
 
 /**
  * When what discovery has to say counts as told, whether or not it has come, and how long a source that says nothing
@@ -7,7 +7,7 @@
  *
  * <p>Pure: the caller brings the time. All times are in µs.
  */
-public final class Telling {
+public final class Staleness {
     /** Between the empty lines of a watch on which nothing changes (the protocol page). */
     private static final long BEAT = 2_000_000;
     /** From the silence of a watch on: what it misses then counts as told (the standing terms). */
@@ -28,7 +28,7 @@
      * @param grace how long after a drain was told requests may still be sent
      * @param askWithin for how long the list of a balancer without a watch holds
      */
-    public Telling(boolean pushed, long grace, long askWithin) {
+    public Staleness(boolean pushed, long grace, long askWithin) {
         this.pushed = pushed;
         limits(grace, askWithin);
     }
--- a/core/src/main/java/junctionhead/subset/Gathering.java
+++ b/core/src/main/java/junctionhead/subset/AdaptiveSample.java
@@ -12,7 +12,7 @@
  *
  * @param <T> an entry
  */
-public final class Gathering<T> {
+public final class AdaptiveSample<T> {
     /** A part of twice the size is taken up again only where it leaves this much room, so that lists that vary don't
      * make a balancer let go and take up half of its upstreams in turns. */
     private static final double ROOM = 0.25;
@@ -32,7 +32,7 @@
      * @param most entries that may be held
      * @param hash of an entry's id, spread over all 64 bits
      */
-    public Gathering(Subset before, boolean whole, int most, ToLongFunction<T> hash) {
+    public AdaptiveSample(Subset before, boolean whole, int most, ToLongFunction<T> hash) {
         if (most < 1) {
             throw new IllegalArgumentException("impossible bound: " + most);
         }
--- a/core/src/test/java/junctionhead/policy/AskAgainTest.java
+++ b/core/src/test/java/junctionhead/policy/AskAgainTest.java
@@ -14,7 +14,7 @@
 class AskAgainTest {
     private static final long TOLD = 6_000_000;     // after discovery can be reached again
     private static final long WAITING = 2_000_000;  // that a call takes which fails by waiting
-    private static final long TRY = 2_750_000;      // what Telling leaves for a failed try when a watch falls silent
+    private static final long TRY = 2_750_000;      // what Staleness leaves for a failed try when a watch falls silent
     private static final long MARGIN = 500_000;
     private static final int CALLS = 12;
     private static final int SEEDS = 200;
@@ -50,7 +50,7 @@
         }
     }
 
-    /** Telling gives a silent watch up so early that one failed try fits in before the grace is over. */
+    /** Staleness gives a silent watch up so early that one failed try fits in before the grace is over. */
     @Test
     void afterAWatchThatFellSilentASecondTryFitsIntoTheTimeThatTellingLeaves() {
         for (long seed = 0; seed < SEEDS; seed++) {
--- a/core/src/test/java/junctionhead/telling/TellingTest.java
+++ b/core/src/test/java/junctionhead/staleness/StalenessTest.java
@@ -1,4 +1,4 @@
-package junctionhead.telling;
+package junctionhead.staleness;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -6,11 +6,11 @@
 import org.junit.jupiter.api.Test;
 
 /** When news counts as told, by the terms' figures. */
-class TellingTest {
+class StalenessTest {
     private static final long SECOND = 1_000_000;
 
-    private static Telling asked(long grace) {
-        return new Telling(false, grace, 10 * SECOND);
+    private static Staleness asked(long grace) {
+        return new Staleness(false, grace, 10 * SECOND);
     }
 
     /** One failed try of 2 s and the pause after it fit between the silence and the end of the grace. */
@@ -35,64 +35,64 @@
 
     @Test
     void whatComesInTimeIsToldAsItComes() {
-        Telling telling = asked(SECOND);
-        telling.silentSince(10 * SECOND);
-        assertEquals(14 * SECOND, telling.told(14 * SECOND));
+        Staleness staleness = asked(SECOND);
+        staleness.silentSince(10 * SECOND);
+        assertEquals(14 * SECOND, staleness.told(14 * SECOND));
     }
 
     @Test
     void whatASilentWatchMissedCountsSixSecondsAfterItFellSilent() {
-        Telling telling = asked(SECOND);
-        telling.silentSince(10 * SECOND);
-        assertEquals(16 * SECOND, telling.told(17 * SECOND));
-        assertEquals(18 * SECOND, telling.told(18 * SECOND));   // the new watch works
+        Staleness staleness = asked(SECOND);
+        staleness.silentSince(10 * SECOND);
+        assertEquals(16 * SECOND, staleness.told(17 * SECOND));
+        assertEquals(18 * SECOND, staleness.told(18 * SECOND));   // the new watch works
     }
 
     @Test
     void aNewDiscoveryIsToldOfFourSecondsAfterItsConfiguration() {
-        Telling telling = asked(SECOND);
-        telling.moved(10 * SECOND);
-        assertEquals(14 * SECOND, telling.told(15 * SECOND));
+        Staleness staleness = asked(SECOND);
+        staleness.moved(10 * SECOND);
+        assertEquals(14 * SECOND, staleness.told(15 * SECOND));
     }
 
     /** Neither a failed try nor a move gives what was missed before any more time. */
     @Test
     void theEarliestClockHolds() {
-        Telling telling = asked(SECOND);
-        telling.silentSince(10 * SECOND);
-        telling.unwatched(13 * SECOND);
-        telling.moved(14 * SECOND);
-        assertEquals(16 * SECOND, telling.told(20 * SECOND));
+        Staleness staleness = asked(SECOND);
+        staleness.silentSince(10 * SECOND);
+        staleness.unwatched(13 * SECOND);
+        staleness.moved(14 * SECOND);
+        assertEquals(16 * SECOND, staleness.told(20 * SECOND));
     }
 
     @Test
     void wherePushedWhatTheAgentHasCountsWithoutAWatch() {
-        Telling telling = new Telling(true, SECOND, 0);
-        telling.unwatched(10 * SECOND);
-        assertEquals(10 * SECOND, telling.told(11 * SECOND));
+        Staleness staleness = new Staleness(true, SECOND, 0);
+        staleness.unwatched(10 * SECOND);
+        assertEquals(10 * SECOND, staleness.told(11 * SECOND));
     }
 
     @Test
     void wherePushedNoGraceIsLeftOfWhatAnAgentHadAtTheStart() {
-        Telling telling = new Telling(true, SECOND, 0);
-        telling.started(10 * SECOND);
-        assertEquals(0, telling.told(11 * SECOND));
-        Telling asked = asked(SECOND);
+        Staleness staleness = new Staleness(true, SECOND, 0);
+        staleness.started(10 * SECOND);
+        assertEquals(0, staleness.told(11 * SECOND));
+        Staleness asked = asked(SECOND);
         asked.started(10 * SECOND);
         assertEquals(15 * SECOND, asked.told(15 * SECOND));
     }
 
     @Test
     void wherePushedACallThatHangsCostsHalfAGraceAtMost() {
-        assertEquals(500_000, new Telling(true, 900_000, 0).answerWithin());
-        assertEquals(1_500_000, new Telling(true, 3 * SECOND, 0).answerWithin());
+        assertEquals(500_000, new Staleness(true, 900_000, 0).answerWithin());
+        assertEquals(1_500_000, new Staleness(true, 3 * SECOND, 0).answerWithin());
         assertEquals(asked(900_000).patience(), asked(900_000).answerWithin());
     }
 
     @Test
     void whereAskedAListHoldsForTheTimeThatTheSettingsGive() {
-        Telling telling = new Telling(false, SECOND, 3 * SECOND);
-        telling.unwatched(10 * SECOND);
-        assertEquals(13 * SECOND, telling.told(15 * SECOND));
+        Staleness staleness = new Staleness(false, SECOND, 3 * SECOND);
+        staleness.unwatched(10 * SECOND);
+        assertEquals(13 * SECOND, staleness.told(15 * SECOND));
     }
 }
--- a/core/src/test/java/junctionhead/subset/SubsetTest.java
+++ b/core/src/test/java/junctionhead/subset/SubsetTest.java
@@ -134,8 +134,8 @@
         return random.longs(many).boxed().toList();
     }
 
-    private static Gathering<Long> gather(Subset before, boolean whole, int most, List<Long> list) {
-        Gathering<Long> g = new Gathering<>(before, whole, most, h -> h);
+    private static AdaptiveSample<Long> gather(Subset before, boolean whole, int most, List<Long> list) {
+        AdaptiveSample<Long> g = new AdaptiveSample<>(before, whole, most, h -> h);
         for (Long h : list) {
             if (g.wants(h)) {
                 g.add(h);
@@ -151,7 +151,7 @@
             @ForAll @IntRange(min = 0, max = FLEET) int rank, @ForAll @IntRange(min = 1, max = 3_000) int many,
             @ForAll @IntRange(min = 1, max = 500) int most) {
         List<Long> list = list(random, many);
-        Gathering<Long> g = gather(Subset.whole(rank), true, most, list);
+        AdaptiveSample<Long> g = gather(Subset.whole(rank), true, most, list);
         List<Long> held = List.copyOf(g.end());
         assertTrue(held.size() <= most);
         assertEquals(many, g.named());
@@ -160,14 +160,14 @@
         assertTrue(s.level() == 0 || list.stream().filter(s.wider()::holds).count() > most, "no narrower than needed");
         List<Long> other = new ArrayList<>(list);
         Collections.shuffle(other, random);
-        Gathering<Long> again = gather(Subset.whole(rank), true, most, other);
+        AdaptiveSample<Long> again = gather(Subset.whole(rank), true, most, other);
         assertEquals(Set.copyOf(held), Set.copyOf(again.end()));
     }
 
     @Test
     void aListThatFitsIsHeldWhole() {
         List<Long> list = list(new Random(1), 200);
-        Gathering<Long> g = gather(Subset.whole(7), true, 200, list);
+        AdaptiveSample<Long> g = gather(Subset.whole(7), true, 200, list);
         assertEquals(list, g.end());
         assertEquals(0, g.subset().level());
     }
@@ -177,13 +177,13 @@
     void aWiderPartIsTakenUpOnlyWithRoomToSpare() {
         Random random = new Random(2);
         List<Long> list = new ArrayList<>(list(random, 1_010));
-        Gathering<Long> first = gather(Subset.whole(3), true, 1_000, list);
+        AdaptiveSample<Long> first = gather(Subset.whole(3), true, 1_000, list);
         first.end();
         assertEquals(1, first.subset().level());
-        Gathering<Long> fewer = gather(first.subset(), true, 1_000, list.subList(0, 900));
+        AdaptiveSample<Long> fewer = gather(first.subset(), true, 1_000, list.subList(0, 900));
         fewer.end();
         assertEquals(1, fewer.subset().level());
-        Gathering<Long> few = gather(first.subset(), true, 1_000, list.subList(0, 700));
+        AdaptiveSample<Long> few = gather(first.subset(), true, 1_000, list.subList(0, 700));
         assertEquals(700, few.end().size());
         assertEquals(0, few.subset().level());
     }
@@ -191,7 +191,7 @@
     @Test
     void changesNeverWidenAPart() {
         Subset s = at(3, 4);
-        Gathering<Long> g = gather(s, false, 1_000, list(new Random(3), 160));
+        AdaptiveSample<Long> g = gather(s, false, 1_000, list(new Random(3), 160));
         g.end();
         assertEquals(s, g.subset());
         assertTrue(g.end().stream().allMatch(s::holds));
@@ -201,9 +201,9 @@
     void anUpstreamThatComesOrGoesMovesNobodyElse() {
         List<Long> list = list(new Random(4), 20_000);
         for (int rank = 0; rank < 50; rank++) {
-            Gathering<Long> all = gather(Subset.whole(rank), true, 1_000, list);
+            AdaptiveSample<Long> all = gather(Subset.whole(rank), true, 1_000, list);
             Set<Long> held = Set.copyOf(all.end());
-            Gathering<Long> less = gather(all.subset(), true, 1_000, list.subList(1, list.size()));
+            AdaptiveSample<Long> less = gather(all.subset(), true, 1_000, list.subList(1, list.size()));
             Set<Long> then = new HashSet<>(less.end());
             assertEquals(held.contains(list.get(0)), then.add(list.get(0)) && held.equals(then));
         }
@@ -211,7 +211,7 @@
 
     @Test
     void manyOfOneIdStayWithinTheBound() {
-        Gathering<Long> g = gather(Subset.whole(0), true, 3, Collections.nCopies(50, 0L));
+        AdaptiveSample<Long> g = gather(Subset.whole(0), true, 3, Collections.nCopies(50, 0L));
         assertEquals(3, g.end().size());
     }
 
--- a/discovery/src/main/java/junctionhead/discovery/DiscoveryClient.java
+++ b/discovery/src/main/java/junctionhead/discovery/DiscoveryClient.java
@@ -31,7 +31,7 @@
 import java.util.function.LongSupplier;
 import junctionhead.policy.Policy.ListKind;
 import junctionhead.policy.Policy;
-import junctionhead.telling.Telling;
+import junctionhead.staleness.Staleness;
 import junctionhead.settings.SettingsReader;
 
 /**
@@ -52,7 +52,7 @@
     private final Consumer<String> log;
     private final boolean pushed;
     private final LongSupplier clock;
-    private final Telling telling;
+    private final Staleness staleness;
     private long rev;
     private Call watch;
     private boolean wanted;                         // a watch, whether one is open or not
@@ -75,12 +75,12 @@
         this.clock = clock;
         this.pushed = boot.settings().discovery() == Policy.Discovery.PUSH;
         Policy.Bounds bounds = boot.settings().bounds();
-        this.telling = new Telling(pushed, bounds.drainGrace(), bounds.askWithin());
+        this.staleness = new Staleness(pushed, bounds.drainGrace(), bounds.askWithin());
     }
 
     /** Begins to watch unasked where lists are pushed. */
     public void start() {
-        telling.started(clock.getAsLong());
+        staleness.started(clock.getAsLong());
         if (pushed) {
             watch(true);
         }
@@ -88,7 +88,7 @@
 
     /** How long a process that has started need not be ready for want of an answer, in µs. */
     public long startWithin() {
-        return telling.startWithin();
+        return staleness.startWithin();
     }
 
     /** Subscribes to changes, in place of an earlier subscription, or ends it. */
@@ -107,7 +107,7 @@
     /** Reads lists by new settings from here on. */
     public void reconfigure(SettingsReader.Boot next) {
         boot = next;
-        telling.limits(next.settings().bounds().drainGrace(), next.settings().bounds().askWithin());
+        staleness.limits(next.settings().bounds().drainGrace(), next.settings().bounds().askWithin());
     }
 
     /** Asks for the whole list once. */
@@ -126,7 +126,7 @@
         }
         address = other;
         rev = 0;
-        telling.moved(clock.getAsLong());
+        staleness.moved(clock.getAsLong());
         for (Call call : List.copyOf(calls)) {
             call.drop();
             if (!call.watching) {
@@ -206,10 +206,10 @@
             }
             silence = loop.schedule(() -> {
                 if (answered) {
-                    telling.silentSince(heardAt);
+                    staleness.silentSince(heardAt);
                 }
                 ended();
-            }, answered ? telling.patience() : telling.answerWithin(), TimeUnit.MICROSECONDS);
+            }, answered ? staleness.patience() : staleness.answerWithin(), TimeUnit.MICROSECONDS);
         }
 
         @Override
@@ -266,7 +266,7 @@
                 heard();                            // from here on the time between two lines counts
             }
             ListKind kind = targets.all() ? ListKind.COMPLETE : ListKind.PARTIAL;
-            news.accept(kind, watching ? targets.told(telling.told(clock.getAsLong())) : targets);
+            news.accept(kind, watching ? targets.told(staleness.told(clock.getAsLong())) : targets);
             if (!watching) {
                 drop();
             }
@@ -283,7 +283,7 @@
             }
             drop();
             if (watching && answered) {
-                telling.unwatched(clock.getAsLong());
+                staleness.unwatched(clock.getAsLong());
             }
             if (!pushed) {
                 news.accept(ListKind.FAILED, null);
--- a/discovery/src/main/java/junctionhead/discovery/Holding.java
+++ b/discovery/src/main/java/junctionhead/discovery/Holding.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 import java.util.function.Consumer;
-import junctionhead.subset.Gathering;
+import junctionhead.subset.AdaptiveSample;
 import junctionhead.subset.Subset;
 
 /**
@@ -62,8 +62,8 @@
     }
 
     /** Begins to gather a list; {@code whole} where it says that it names all there are. */
-    Gathering<Targets.Target> gather(boolean whole) {
-        return new Gathering<>(whole && sought != null ? sought : subset, whole, most,
+    AdaptiveSample<Targets.Target> gather(boolean whole) {
+        return new AdaptiveSample<>(whole && sought != null ? sought : subset, whole, most,
             t -> Subset.hash(t.server().id()));
     }
 
@@ -77,7 +77,7 @@
         if (list.part() != null || list.list().size() <= most) {
             return list;
         }
-        Gathering<Targets.Target> gathering = gather(list.all());
+        AdaptiveSample<Targets.Target> gathering = gather(list.all());
         for (Targets.Target t : list.list()) {
             if (gathering.wants(Subset.hash(t.server().id()))) {
                 gathering.add(t);
--- a/discovery/src/main/java/junctionhead/discovery/ListReader.java
+++ b/discovery/src/main/java/junctionhead/discovery/ListReader.java
@@ -15,7 +15,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import junctionhead.settings.SettingsReader;
-import junctionhead.subset.Gathering;
+import junctionhead.subset.AdaptiveSample;
 import junctionhead.subset.Subset;
 
 /**
@@ -36,7 +36,7 @@
     private final Holding holding;
     private final Deque<Object> open = new ArrayDeque<>();      // maps and lists that have begun, the innermost first
     private final Deque<String> names = new ArrayDeque<>();     // of what comes next in each open map
-    private Gathering<Targets.Target> gathering;                // null before the first entry of a list
+    private AdaptiveSample<Targets.Target> gathering;                // null before the first entry of a list
     private int length;                             // since an entry ended
     private long all;                               // of the list that is coming in
 
@@ -175,7 +175,7 @@
     }
 
     private void list(Map<?, ?> ended, Consumer<Targets> whole) {
-        Gathering<Targets.Target> g = gathering;
+        AdaptiveSample<Targets.Target> g = gathering;
         gathering = null;
         boolean complete = ended.get("all") == Boolean.TRUE;
         // What stands in it but an entry: a number, a word, a list.
--- a/discovery/src/main/java/junctionhead/discovery/MoreParts.java
+++ b/discovery/src/main/java/junctionhead/discovery/PartialListRetry.java
@@ -9,7 +9,7 @@
  * sent to. Paced, and less often the longer it lasts: whole lists are dear, and all balancers of a part are in the same
  * position at once. On the event loop's thread.
  */
-public final class MoreParts {
+public final class PartialListRetry {
     private static final long FIRST_MS = 250;
     private static final int DOUBLINGS = 5;         // up to 8 s
 
@@ -25,7 +25,7 @@
      *
      * @param seed the balancer's own
      */
-    public MoreParts(EventLoop loop, Membership membership, DiscoveryClient client, long seed) {
+    public PartialListRetry(EventLoop loop, Membership membership, DiscoveryClient client, long seed) {
         this.loop = loop;
         this.membership = membership;
         this.client = client;
--- a/lab/src/main/java/junctionhead/lab/fleet/HollowBalancer.java
+++ b/lab/src/main/java/junctionhead/lab/fleet/HollowBalancer.java
@@ -11,7 +11,7 @@
 import junctionhead.discovery.DiscoveryClient;
 import junctionhead.discovery.Holding;
 import junctionhead.discovery.Membership;
-import junctionhead.discovery.MoreParts;
+import junctionhead.discovery.PartialListRetry;
 import junctionhead.discovery.Targets;
 import junctionhead.drain.TakenOut;
 import junctionhead.policy.Balance;
@@ -59,7 +59,7 @@
             this::complain);
         this.membership = new Membership(holding, new TakenOut(), this::now, this::news);
         holding.onChange(h -> hand(now -> policy.share(Math.min(many, h.subset().parts()))));
-        new MoreParts(loop, membership, client, seed);
+        new PartialListRetry(loop, membership, client, seed);
     }
 
     /** Begins, on the loop's thread. */
