--- a/lab/src/test/java/junctionhead/lab/experiment/OverloadedFleetTest.java
+++ b/lab/src/test/java/junctionhead/lab/experiment/OverloadedFleetTest.java
@@ -53,7 +53,7 @@
         Score.Series day = play("replaced-100", seed);  // from 6 s to 13 s
         for (int third = 0; third < 3; third++) {
             double worth = worth(day, 10 * third, 10 * third + 10);
-            assertTrue(worth > 0.7, "of the worth in third " + third + ": " + worth);
+            assertTrue(worth > 0.92, "of the worth in third " + third + ": " + worth);
         }
     }
 
