--- a/review/2/play.py
+++ b/review/2/play.py
@@ -18,7 +18,9 @@
     async def upstream(reader, writer):
         try:
             while True:
-                await read_message(reader)
+                _, headers, _ = await read_message(reader)
+                if "req-id" in headers:
+                    record("upstream runs Req-Id " + headers["req-id"])
                 await asyncio.sleep(0.03)
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -58,9 +60,9 @@
                     writer.close()
                     connection = None
             except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError) as e:
-                outcome = type(e).__name__
+                outcome = "no answer, " + type(e).__name__
                 connection = None
-                record("usual client: Req-Id %s: no answer, %s" % (request_id, outcome))
+            record("usual client: Req-Id %s: %s" % (request_id, outcome))
             usual[outcome] = usual.get(outcome, 0) + 1
             await asyncio.sleep(0.2)
 
@@ -71,6 +73,7 @@
         end = "refused"
         try:
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            record("half-written %d: connected, writes %d bytes of a head" % (i, HEAD_BYTES))
             head = ("GET /api/seat-%d HTTP/1.1\r\nHost: backend.local\r\nReq-Id: half%012d\r\n"
                     "Req-Kind: seat-lookup\r\nReq-Owner: shyamal-travels\r\nReq-Deadline-Ms: 1000\r\n" % (i % 300, i))
             writer.write(head.encode() + LINE * ((HEAD_BYTES - len(head)) // len(LINE)))  # and no empty line
@@ -79,6 +82,7 @@
             writer.close()
         except (OSError, asyncio.TimeoutError) as e:
             end = type(e).__name__
+        record("half-written %d: %s" % (i, end))
         ends[end] = ends.get(end, 0) + 1
 
     clients = [asyncio.ensure_future(usual_client(i)) for i in range(USUAL_CLIENTS)]
