End a streamed body with the piece that makes it too large to buffer

Cause: where the last decoded piece of a body took it over 64 KiB, RequestReader began to stream it and never ended the stream. The connection to the upstream took that for "not all was sent" and reported CONNECT_FAILED, so a booking that had run was refused with 503 and ran again. A probe: last piece 6499, stream left open; at the reset progress SENDING, declared 66000, written 66000.

Change: one place ends a request, after its last piece. A request whose body becomes invalid gets one answer: it had two.

--- a/balancer/src/main/java/loadbalancer/http/ClientConnection.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientConnection.java
@@ -57,6 +57,7 @@
     private int reservedBytes; // for the body of the request that is being served
     private Runnable disconnectListener; // set while a response is pending
     private BodyStream upload; // the body of the request that is arriving, if it is streamed
+    private boolean uploadAnswered; // the response to the request of the upload has begun
     private BodyStream download; // the body of a response that is being streamed
 
     /** Creates a connection and adds its handlers to the pipeline of {@code channel}. */
@@ -192,6 +193,7 @@
     public void onStreamedRequest(HttpRequest head, BodyStream body) {
         hasRequested = true;
         upload = body;
+        uploadAnswered = false;
         pipelinedRequests.addStreamed(new PipelinedRequests.Entry(head, NO_BODY, body, earliestArrivalNanos()));
         serveNextIfWritable();
     }
@@ -224,11 +226,39 @@
     @Override
     public void onInvalidRequest(HttpResponseStatus status, String reason) {
         receiving = false;
-        if (rejection == null) {
-            startRejecting(status, reason);
-            if (state == ResponseState.IDLE && pipelinedRequests.isEmpty()) {
-                writeText(status, reason, false);
+        if (rejection != null) {
+            return;
+        }
+        startRejecting(status, reason);
+        if (upload == null) {
+            rejectIfIdle();
+        } else {
+            rejectUpload();
+        }
+    }
+
+    private void rejectIfIdle() {
+        if (state == ResponseState.IDLE && pipelinedRequests.isEmpty()) {
+            writeText(rejection.status(), rejection.reason(), false);
+        }
+    }
+
+    // The request whose body has become invalid may be waiting or in service, or have its response already.
+    private void rejectUpload() {
+        if (uploadAnswered) {
+            if (state == ResponseState.IDLE) {
+                endAfter(channel.writeAndFlush(Unpooled.EMPTY_BUFFER));
             }
+        } else if (upload == servedBody) {
+            Runnable abandon = disconnectListener;
+            disconnectListener = null;
+            writeText(rejection.status(), rejection.reason(), false);
+            if (abandon != null) {
+                abandon.run();
+            }
+        } else {
+            pipelinedRequests.removeStreamed(upload);
+            rejectIfIdle();
         }
     }
 
@@ -345,6 +375,7 @@
         disconnectListener = null;
         releaseServedMemory();
         if (servedBody != null) {
+            uploadAnswered |= servedBody == upload;
             servedBody.discard();
             servedBody = null;
         }
@@ -363,13 +394,19 @@
         if (keepOpen) {
             state = ResponseState.IDLE;
             scheduleNext();
-        } else if (rejection == null && upload == null) {
-            state = ResponseState.ENDING;
-            written.addListener(ChannelFutureListener.CLOSE);
+        } else {
+            endAfter(written);
+        }
+    }
+
+    private void endAfter(ChannelFuture lastWrite) {
+        state = ResponseState.ENDING;
+        if (rejection == null && upload == null) {
+            lastWrite.addListener(ChannelFutureListener.CLOSE);
         } else {
             // Closing the socket with unread bytes would reset the connection before the client has read the response.
-            state = ResponseState.ENDING;
-            written.addListener(done -> ((DuplexChannel) channel).shutdownOutput());
+            timeouts.startPhase();
+            lastWrite.addListener(done -> ((DuplexChannel) channel).shutdownOutput());
         }
     }
 }
--- a/balancer/src/main/java/loadbalancer/http/PipelinedRequests.java
+++ b/balancer/src/main/java/loadbalancer/http/PipelinedRequests.java
@@ -48,6 +48,11 @@
         return waiting.poll();
     }
 
+    /** Removes the request whose body is {@code streamedBody}, if it waits; its body has become invalid. */
+    void removeStreamed(BodyStream streamedBody) {
+        waiting.removeIf(entry -> entry.streamedBody() == streamedBody);
+    }
+
     /** Discards all requests and releases their memory. */
     void clear() {
         for (Entry entry = waiting.poll(); entry != null; entry = waiting.poll()) {
--- a/balancer/src/main/java/loadbalancer/http/RequestReader.java
+++ b/balancer/src/main/java/loadbalancer/http/RequestReader.java
@@ -63,12 +63,10 @@
             readHead(request);
         }
         if (!closed && part instanceof HttpContent content) {
-            boolean last = part instanceof LastHttpContent;
-            if (stream != null) {
-                readStreamed(content.content(), last);
-            } else if (head != null) {
-                readBuffered(context, content.content(), last);
-            }
+            readBody(context, content.content());
+        }
+        if (!closed && part instanceof LastHttpContent) {
+            endRequest();
         }
     }
 
@@ -83,9 +81,23 @@
         listener.onHead(request);
     }
 
-    private void readBuffered(ChannelHandlerContext context, ByteBuf more, boolean last) {
-        buffer(context, more);
-        if (last && !closed && head != null) {
+    private void readBody(ChannelHandlerContext context, ByteBuf more) {
+        if (stream != null) {
+            writeToStream(more);
+        } else if (head != null) {
+            buffer(context, more);
+        }
+    }
+
+    // The last piece of a body may be the one that makes it too large to be buffered, so whether the body is streamed
+    // is known only after that piece has been read.
+    private void endRequest() {
+        if (stream != null) {
+            BodyStream ending = stream;
+            stream = null;
+            ending.complete();
+            listener.onStreamedRequestComplete();
+        } else if (head != null) {
             HttpRequest request = head;
             head = null;
             memory.release(body.lengthBytes());
@@ -120,16 +132,6 @@
         listener.onStreamedRequest(request, stream);
     }
 
-    private void readStreamed(ByteBuf more, boolean last) {
-        writeToStream(more);
-        if (!closed && last) {
-            BodyStream ending = stream;
-            stream = null;
-            ending.complete();
-            listener.onStreamedRequestComplete();
-        }
-    }
-
     private void writeToStream(ByteBuf more) {
         streamedBytes += more.readableBytes();
         if (streamedBytes > BodyLimits.MAX_STREAMED_BYTES) {
--- a/balancer/src/main/java/loadbalancer/upstream/UpstreamConnection.java
+++ b/balancer/src/main/java/loadbalancer/upstream/UpstreamConnection.java
@@ -189,8 +189,9 @@
     public void onResponse(UpstreamResponse response, boolean reusable) {
         UpstreamCall endingCall = call;
         call = null;
+        boolean requestEnded = upload == null || upload.isComplete();
         // The connection becomes idle before the policy is notified, as the next attempt may use it.
-        if (progress == RequestProgress.SENT && reusable && endingCall != null) {
+        if (progress == RequestProgress.SENT && requestEnded && reusable && endingCall != null) {
             becomeIdle();
         } else {
             close();
@@ -229,7 +230,8 @@
     @Override
     public void onResponseComplete(boolean reusable) {
         download = null;
-        if (reusable && channel.isActive()) {
+        boolean requestEnded = upload == null || upload.isComplete();
+        if (requestEnded && reusable && channel.isActive()) {
             becomeIdle();
         } else {
             close();
--- a/balancer/src/test/java/loadbalancer/process/BodyStreamTest.java
+++ b/balancer/src/test/java/loadbalancer/process/BodyStreamTest.java
@@ -285,4 +285,71 @@
             assertEquals(200, client.readStatus());
         }
     }
+
+    /** The upstream has the whole request, so it may have run: its client must not be told to send it again. */
+    @ParameterizedTest
+    @ValueSource(ints = {60_000, 65_537, 65_700, 66_300, 70_000, 500_000})
+    void aBodyWhoseConnectionIsResetAfterItsLastByteMayHaveRun(int bytes) throws Exception {
+        start();
+        byte[] body = randomBytes(bytes);
+        try (Client client = new Client(listenAddress)) {
+            client.send(postHead("Content-Length: " + bytes));
+            client.socket.getOutputStream().write(body);
+            FakeUpstream.ReceivedRequest received = upstream.nextRequest();
+            assertArrayEquals(body, received.body());
+            received.reset();
+            assertEquals("RESET", policy.nextEvent());
+            assertEquals(502, client.readStatus());
+            client.send(postHead("Content-Length: " + bytes)); // the connection remains usable
+            client.socket.getOutputStream().write(body);
+            received = upstream.nextRequest();
+            assertArrayEquals(body, received.body());
+            received.respond(200, "", "ok");
+            assertEquals(200, client.readStatus());
+        }
+    }
+
+    /** A body that is the text of a request must not reach an upstream as a request of its own. */
+    @Test
+    void aBodyBehindALargeOneIsNotAppendedToIt() throws Exception {
+        start();
+        try (Client client = new Client(listenAddress)) {
+            client.send(postHead("Content-Length: 66000"));
+            client.socket.getOutputStream().write(randomBytes(66_000));
+            FakeUpstream.ReceivedRequest first = upstream.nextRequest();
+            String hidden = IDEMPOTENT_REQUEST.replace("r1", "hidden");
+            client.send(post("book", "Req-Deadline-Ms: 20000\r\n", hidden).replace("Req-Id: r1", "Req-Id: r2"));
+            first.respond(200, "", "first");
+            assertEquals(200, client.readStatus());
+            FakeUpstream.ReceivedRequest second = upstream.nextRequest();
+            assertEquals("r2", second.header("Req-Id"));
+            assertEquals(hidden, new String(second.body(), StandardCharsets.ISO_8859_1));
+            second.respond(200, "", "second");
+            assertEquals(200, client.readStatus());
+        }
+    }
+
+    /** The request that has become invalid is in service: its client gets one response, and then a close. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aBodyThatBecomesInvalidGetsOneResponse(boolean inService) throws Exception {
+        start();
+        try (Client client = new Client(listenAddress)) {
+            if (!inService) {
+                client.send(IDEMPOTENT_REQUEST.replace("r1", "r0"));
+            }
+            client.send(postHead("Transfer-Encoding: chunked") + chunk("x".repeat(200_000)));
+            assertEquals(inService ? "2 k1 -1 false" : "0 k1 700 true", policy.requests.poll(20, TimeUnit.SECONDS));
+            if (!inService) {
+                client.send("zz\r\n");
+                upstream.nextRequest().respond(200, "", "ok");
+                assertEquals(200, client.readStatus());
+            } else {
+                client.send("zz\r\n");
+            }
+            assertEquals(400, client.readStatus());
+            assertNull(client.readResponse(), "expected one response and then the end of the connection");
+            assertTrue(policy.requests.isEmpty());
+        }
+    }
 }
