--- a/balancer/src/main/java/loadbalancer/admin/AdminListener.java
+++ b/balancer/src/main/java/loadbalancer/admin/AdminListener.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -19,6 +20,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -63,6 +65,7 @@
                     .option(ChannelOption.SO_BACKLOG, BACKLOG)
                     .option(ChannelOption.SO_REUSEADDR, true)
                     .childOption(ChannelOption.TCP_NODELAY, true)
+                    .childOption(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_LINE_BYTES))
                     .childHandler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel channel) {
@@ -92,18 +95,24 @@
         }
         AdminConnection connection = new AdminConnection(channel);
         connections.add(connection);
-        channel.closeFuture().addListener(closed -> connections.remove(connection));
+        // A timer that outlived its connection would hold it: many short connections would fill the heap.
+        connection.timer = loop.schedule(
+                () -> connection.respond("NAK no whole line came"), LINE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        channel.closeFuture().addListener(closed -> {
+            connection.timer.cancel(false);
+            connections.remove(connection);
+        });
         channel.pipeline()
                 .addLast(
                         new LineBasedFrameDecoder(MAX_LINE_BYTES, true, true),
                         new StringDecoder(StandardCharsets.UTF_8),
                         connection);
-        loop.schedule(() -> connection.respond("NAK no whole line came"), LINE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** A connection of an operator. */
     private final class AdminConnection extends SimpleChannelInboundHandler<String> {
         private final Channel channel;
+        private Future<?> timer; // of the line, and then of the close
         private boolean responded;
 
         AdminConnection(Channel channel) {
@@ -136,7 +145,8 @@
             channel.writeAndFlush(Unpooled.copiedBuffer(line + "\n", StandardCharsets.UTF_8))
                     .addListener(ChannelFutureListener.CLOSE_ON_FAILURE)
                     .addListener(written -> ((DuplexChannel) channel).shutdownOutput());
-            loop.schedule(() -> channel.close(), CLOSE_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+            timer.cancel(false);
+            timer = loop.schedule(() -> channel.close(), CLOSE_DELAY_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 }
--- a/balancer/src/main/java/loadbalancer/dispatch/AttemptRunner.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/AttemptRunner.java
@@ -102,10 +102,13 @@
         }
     }
 
-    /** Cancels all attempts that still wait for a connection, for a request whose response is no longer needed. */
+    /**
+     * Cancels all attempts whose last byte has not been written, for a request whose response is no longer needed: no
+     * upstream has begun to run them.
+     */
     void cancelUnsent(OpenRequest openRequest) {
         for (Attempt attempt : openRequest.attempts) {
-            if (!attempt.ended && attempt.call != null && attempt.call.isWaitingForConnection()) {
+            if (!attempt.ended && attempt.call != null && attempt.call.isUnsent()) {
                 abandon(attempt, AttemptOutcome.CANCELLED);
             }
         }
--- a/balancer/src/main/java/loadbalancer/dispatch/OpenRequest.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/OpenRequest.java
@@ -11,7 +11,7 @@
  */
 final class OpenRequest {
     final String id; // assigned by this process, as the ids that clients choose may repeat
-    final InboundRequest request;
+    InboundRequest request; // without its headers and its body once it is closed
     final ClientResponder responder;
     final int maxAttempts;
     final List<Attempt> attempts = new ArrayList<>(2);
--- a/balancer/src/main/java/loadbalancer/dispatch/OpenRequests.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/OpenRequests.java
@@ -45,6 +45,7 @@
     /** Marks a request as not awaiting a response; it remains in the table while attempts are in flight. */
     void close(OpenRequest openRequest) {
         openRequest.closed = true;
+        openRequest.request = openRequest.request.withoutContent(); // attempts may be in flight for long
         if (openRequest.lastResortTimer != null) {
             openRequest.lastResortTimer.cancel(false);
         }
--- a/balancer/src/main/java/loadbalancer/handover/HandoverLink.java
+++ b/balancer/src/main/java/loadbalancer/handover/HandoverLink.java
@@ -35,6 +35,9 @@
 public final class HandoverLink {
     private static final String SOCKET_NAME = "handover.sock";
     private static final int MAX_LINE_BYTES = 8 << 20;
+    /** The most connections to other processes: a predecessor, a successor, and those of an upgrade that has failed. */
+    private static final int MAX_PEERS = 4;
+
     private static final long STATE_TIMEOUT_MILLIS = 1_000;
 
     /** Supplies the state and receives the link's events; called on the event loop's thread. */
@@ -181,6 +184,10 @@
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
+                if (peers.size() >= MAX_PEERS) {
+                    channel.close();
+                    return;
+                }
                 channel.pipeline()
                         .addLast(
                                 new LineBasedFrameDecoder(MAX_LINE_BYTES),
--- a/balancer/src/main/java/loadbalancer/http/ClientConnection.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientConnection.java
@@ -16,8 +16,11 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
-import loadbalancer.transport.BodyMemoryBudget;
 import loadbalancer.transport.BodyStream;
+import loadbalancer.transport.ConnectionMemory;
+import loadbalancer.transport.HeadMemory;
+import loadbalancer.transport.MemoryBudget;
+import loadbalancer.transport.MemoryBudgets;
 import loadbalancer.transport.UpstreamResponse;
 
 /**
@@ -42,10 +45,12 @@
     private static final byte[] NO_BODY = new byte[0];
 
     private final ClientRequestHandler requestHandler;
-    private final BodyMemoryBudget memory;
+    private final MemoryBudget bodyMemory;
+    private final ConnectionMemory headMemory;
+    private final ConnectionMemory responseMemory; // of responses that have not been written to the socket
     private final Channel channel;
     private final RequestReader reader;
-    private final ClientRequestDecoder decoder = new ClientRequestDecoder();
+    private ClientRequestDecoder decoder; // null once a request has been rejected: it would hold the rejected head
     private final ResponseWriter writer;
     private final ClientTimeouts timeouts = new ClientTimeouts();
     private final PipelinedRequests pipelinedRequests;
@@ -54,20 +59,25 @@
     private boolean receiving; // a request has arrived in part
     private boolean hasRequested; // a complete or streamed request has arrived, or one was rejected
     private BodyStream servedBody; // the body of the request that is being served, if it is streamed
-    private int reservedBytes; // for the body of the request that is being served
+    private int servedBodyBytes; // heap that the body of the request takes that is being served
+    private int servedHeadBytes; // heap that its head takes
     private Runnable disconnectListener; // set while a response is pending
     private BodyStream upload; // the body of the request that is arriving, if it is streamed
     private boolean uploadAnswered; // the response to the request of the upload has begun
     private BodyStream download; // the body of a response that is being streamed
 
     /** Creates a connection and adds its handlers to the pipeline of {@code channel}. */
-    ClientConnection(ClientRequestHandler requestHandler, BodyMemoryBudget memory, Channel channel) {
+    ClientConnection(ClientRequestHandler requestHandler, MemoryBudgets memory, Channel channel) {
         this.requestHandler = requestHandler;
-        this.memory = memory;
+        this.bodyMemory = memory.requestBodies();
+        this.headMemory = new ConnectionMemory(memory.requestHeads());
+        this.responseMemory = new ConnectionMemory(memory.responses());
         this.channel = channel;
-        this.reader = new RequestReader(this, memory);
-        this.writer = new ResponseWriter(channel);
-        this.pipelinedRequests = new PipelinedRequests(memory);
+        HeadMemory arrivingHead = new HeadMemory(headMemory);
+        this.decoder = new ClientRequestDecoder(arrivingHead);
+        this.reader = new RequestReader(this, bodyMemory, arrivingHead, headMemory);
+        this.writer = new ResponseWriter(channel, responseMemory);
+        this.pipelinedRequests = new PipelinedRequests(bodyMemory, headMemory);
         channel.pipeline().addLast(new ReadActivityHandler(this), decoder, new HttpResponseEncoder(), reader, this);
     }
 
@@ -151,6 +161,8 @@
         reader.close();
         releaseServedMemory();
         pipelinedRequests.clear();
+        headMemory.releaseAll();
+        responseMemory.releaseAll();
         if (servedBody != null && !servedBody.isConsumed()) {
             servedBody.discard();
         }
@@ -190,11 +202,12 @@
     }
 
     @Override
-    public void onStreamedRequest(HttpRequest head, BodyStream body) {
+    public void onStreamedRequest(HttpRequest head, int headBytes, BodyStream body) {
         hasRequested = true;
         upload = body;
         uploadAnswered = false;
-        pipelinedRequests.addStreamed(new PipelinedRequests.Entry(head, NO_BODY, body, earliestArrivalNanos()));
+        pipelinedRequests.addStreamed(
+                new PipelinedRequests.Entry(head, headBytes, NO_BODY, body, earliestArrivalNanos()));
         serveNextIfWritable();
     }
 
@@ -206,7 +219,7 @@
     }
 
     @Override
-    public void onRequest(HttpRequest head, byte[] body) {
+    public void onRequest(HttpRequest head, int headBytes, byte[] body) {
         receiving = false;
         hasRequested = true;
         // If a client pipelines too many requests, the further ones are rejected, but its connection is still read:
@@ -214,7 +227,7 @@
         if (pipelinedRequests.isFull(state == ResponseState.SCHEDULED ? 1 : 0)) {
             onInvalidRequest(HttpResponseStatus.BAD_REQUEST, "too many requests sent ahead");
         } else {
-            pipelinedRequests.add(new PipelinedRequests.Entry(head, body, null, earliestArrivalNanos()));
+            pipelinedRequests.add(new PipelinedRequests.Entry(head, headBytes, body, null, earliestArrivalNanos()));
             serveNextIfWritable();
         }
     }
@@ -277,6 +290,7 @@
         reader.close();
         rejection = new RequestValidator.Problem(status, reason);
         channel.pipeline().replace(decoder, null, new DiscardingHandler(this));
+        decoder = null;
     }
 
     @Override
@@ -317,7 +331,8 @@
     }
 
     private void serve(PipelinedRequests.Entry request) {
-        reservedBytes = request.body().length;
+        servedBodyBytes = request.body().length;
+        servedHeadBytes = request.headBytes();
         servedBody = request.streamedBody();
         long waitedMicros = (System.nanoTime() - request.earliestArrivalNanos()) / 1000;
         requestHandler.handle(this, request.head(), request.body(), request.streamedBody(), waitedMicros);
@@ -382,8 +397,10 @@
     }
 
     private void releaseServedMemory() {
-        memory.release(reservedBytes);
-        reservedBytes = 0;
+        bodyMemory.release(servedBodyBytes);
+        servedBodyBytes = 0;
+        headMemory.release(servedHeadBytes);
+        servedHeadBytes = 0;
     }
 
     /** Called when the last byte of a response has been passed to the channel. */
--- a/balancer/src/main/java/loadbalancer/http/ClientConnections.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientConnections.java
@@ -6,7 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import loadbalancer.transport.BodyMemoryBudget;
+import loadbalancer.transport.MemoryBudgets;
 
 /**
  * The open client connections. Checks their timeouts, and closes the least needed ones when the budget is full. Used on
@@ -18,7 +18,7 @@
     private static final long LONG_IDLE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private final ClientRequestHandler requestHandler;
-    private final BodyMemoryBudget memory;
+    private final MemoryBudgets memory;
     private final ClientConnectionBudget budget;
     private final BooleanSupplier closeIdleUpstream;
     private final Runnable capacityListener;
@@ -33,7 +33,7 @@
      */
     ClientConnections(
             ClientRequestHandler requestHandler,
-            BodyMemoryBudget memory,
+            MemoryBudgets memory,
             ClientConnectionBudget budget,
             BooleanSupplier closeIdleUpstream,
             Runnable capacityListener) {
--- a/balancer/src/main/java/loadbalancer/http/ClientListener.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientListener.java
@@ -18,17 +18,14 @@
 import java.util.function.Supplier;
 import loadbalancer.dispatch.RequestHandler;
 import loadbalancer.settings.BootSettings;
-import loadbalancer.transport.BodyMemoryBudget;
 import loadbalancer.transport.ChannelBufferSettings;
+import loadbalancer.transport.MemoryBudgets;
 
 /**
  * Listens for clients and accepts their connections while there is capacity, until a graceful stop. All methods must be
  * called on the event loop's thread, except for {@link #listen} and {@link #listenForWarmUp}.
  */
 public final class ClientListener {
-    /** The limit on the memory for the request bodies of all clients together. */
-    public static final long MAX_BODY_MEMORY_BYTES = 6 << 20;
-
     private static final int BACKLOG = 1024;
     private static final long TIMEOUT_CHECK_MILLIS = 200;
 
@@ -44,6 +41,7 @@
      * Creates a listener; {@link #listen} opens its socket.
      *
      * @param requestHandler handles the requests of the clients
+     * @param memory limits the heap that clients make the process hold
      * @param closeIdleUpstream closes an idle connection to an upstream; returns false if there is none
      * @param maxUnreadMicros returns the longest time that the data now being read can have waited in the socket's
      *     buffer
@@ -53,16 +51,13 @@
             BootSettings siteSettings,
             RequestHandler requestHandler,
             ClientConnectionBudget budget,
+            MemoryBudgets memory,
             BooleanSupplier closeIdleUpstream,
             LongSupplier maxUnreadMicros) {
         this.loop = loop;
         this.requestHandler = new ClientRequestHandler(servingState, siteSettings, requestHandler, maxUnreadMicros);
-        this.connections = new ClientConnections(
-                this.requestHandler,
-                new BodyMemoryBudget(MAX_BODY_MEMORY_BYTES),
-                budget,
-                closeIdleUpstream,
-                this::updateAutoRead);
+        this.connections =
+                new ClientConnections(this.requestHandler, memory, budget, closeIdleUpstream, this::updateAutoRead);
     }
 
     // ---- start
--- a/balancer/src/main/java/loadbalancer/http/PipelinedRequests.java
+++ b/balancer/src/main/java/loadbalancer/http/PipelinedRequests.java
@@ -2,8 +2,9 @@
 
 import io.netty.handler.codec.http.HttpRequest;
 import java.util.ArrayDeque;
-import loadbalancer.transport.BodyMemoryBudget;
 import loadbalancer.transport.BodyStream;
+import loadbalancer.transport.ConnectionMemory;
+import loadbalancer.transport.MemoryBudget;
 
 /** The requests of one client that have arrived and wait to be served, in order, and the memory for their bodies. */
 final class PipelinedRequests {
@@ -12,15 +13,18 @@
     /**
      * A request that has arrived.
      *
+     * @param headBytes heap that the head takes
      * @param earliestArrivalNanos the earliest time at which the last byte may have arrived, from System.nanoTime()
      */
-    record Entry(HttpRequest head, byte[] body, BodyStream streamedBody, long earliestArrivalNanos) {}
+    record Entry(HttpRequest head, int headBytes, byte[] body, BodyStream streamedBody, long earliestArrivalNanos) {}
 
     private final ArrayDeque<Entry> waiting = new ArrayDeque<>();
-    private final BodyMemoryBudget memory;
+    private final MemoryBudget bodyMemory;
+    private final ConnectionMemory headMemory;
 
-    PipelinedRequests(BodyMemoryBudget memory) {
-        this.memory = memory;
+    PipelinedRequests(MemoryBudget bodyMemory, ConnectionMemory headMemory) {
+        this.bodyMemory = bodyMemory;
+        this.headMemory = headMemory;
     }
 
     boolean isEmpty() {
@@ -39,7 +43,7 @@
 
     /** Adds a request and reserves the memory for its body. */
     void add(Entry entry) {
-        memory.tryReserve(entry.body().length);
+        bodyMemory.reserve(entry.body().length);
         waiting.add(entry);
     }
 
@@ -56,7 +60,8 @@
     /** Discards all requests and releases their memory. */
     void clear() {
         for (Entry entry = waiting.poll(); entry != null; entry = waiting.poll()) {
-            memory.release(entry.body().length);
+            bodyMemory.release(entry.body().length);
+            headMemory.release(entry.headBytes());
             if (entry.streamedBody() != null) {
                 entry.streamedBody().discard();
             }
--- a/balancer/src/main/java/loadbalancer/http/RequestReader.java
+++ b/balancer/src/main/java/loadbalancer/http/RequestReader.java
@@ -9,10 +9,14 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import loadbalancer.transport.BodyBuffer;
 import loadbalancer.transport.BodyLimits;
-import loadbalancer.transport.BodyMemoryBudget;
 import loadbalancer.transport.BodyStream;
+import loadbalancer.transport.ConnectionMemory;
+import loadbalancer.transport.HeadMemory;
+import loadbalancer.transport.HeadMemoryException;
+import loadbalancer.transport.MemoryBudget;
 
 /**
  * Assembles a client's requests. A body is buffered completely, copied from the buffers of the socket; a body that is
@@ -26,11 +30,14 @@
         /** A valid head has arrived; the body follows. */
         void onHead(HttpRequest head);
 
-        /** A complete request has arrived. */
-        void onRequest(HttpRequest head, byte[] body);
+        /** A complete request has arrived, whose head takes {@code headBytes} of the heap. */
+        void onRequest(HttpRequest head, int headBytes, byte[] body);
 
-        /** A request has started whose body is too large to be buffered; the body is streamed. */
-        void onStreamedRequest(HttpRequest head, BodyStream body);
+        /**
+         * A request has started whose body is too large to be buffered; the body is streamed. Its head takes {@code
+         * headBytes} of the heap.
+         */
+        void onStreamedRequest(HttpRequest head, int headBytes, BodyStream body);
 
         /** The last byte of a streamed request has arrived. */
         void onStreamedRequestComplete();
@@ -40,16 +47,28 @@
     }
 
     private final Listener listener;
-    private final BodyMemoryBudget memory;
+    private final MemoryBudget memory;
+    private final HeadMemory headMemory;
+    private final ConnectionMemory connectionMemory;
     private final BodyBuffer body = new BodyBuffer();
     private HttpRequest head; // the head of a request whose body is being buffered
+    private int headBytes; // heap that the head takes
     private BodyStream stream; // the body of a request that is being streamed
     private long streamedBytes;
     private boolean closed;
 
-    RequestReader(Listener listener, BodyMemoryBudget memory) {
+    /**
+     * Creates a reader.
+     *
+     * @param memory limits the memory for bodies
+     * @param headMemory counts the head that the decoder is decoding
+     * @param connectionMemory the account that {@code headMemory} counts against
+     */
+    RequestReader(Listener listener, MemoryBudget memory, HeadMemory headMemory, ConnectionMemory connectionMemory) {
         this.listener = listener;
         this.memory = memory;
+        this.headMemory = headMemory;
+        this.connectionMemory = connectionMemory;
     }
 
     @Override
@@ -58,7 +77,7 @@
             return;
         }
         if (!part.decoderResult().isSuccess()) {
-            reject(HttpResponseStatus.BAD_REQUEST, "malformed request");
+            rejectMalformed(part.decoderResult().cause());
         } else if (part instanceof HttpRequest request) {
             readHead(request);
         }
@@ -70,6 +89,23 @@
         }
     }
 
+    private void rejectMalformed(Throwable cause) {
+        if (cause instanceof TooLongHttpHeaderException) {
+            reject(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "too large a head");
+        } else {
+            reject(HttpResponseStatus.BAD_REQUEST, "malformed request");
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (!(cause.getCause() instanceof HeadMemoryException)) {
+            context.fireExceptionCaught(cause);
+        } else if (!closed) {
+            reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "no room for heads: trying again is harmless");
+        }
+    }
+
     private void readHead(HttpRequest request) {
         RequestValidator.Problem problem = RequestValidator.findFramingProblem(request);
         if (problem != null) {
@@ -77,6 +113,7 @@
             return;
         }
         head = request;
+        headBytes = headMemory.take();
         body.clear();
         listener.onHead(request);
     }
@@ -92,6 +129,7 @@
     // The last piece of a body may be the one that makes it too large to be buffered, so whether the body is streamed
     // is known only after that piece has been read.
     private void endRequest() {
+        connectionMemory.release(headMemory.take()); // trailers are not kept
         if (stream != null) {
             BodyStream ending = stream;
             stream = null;
@@ -100,8 +138,8 @@
         } else if (head != null) {
             HttpRequest request = head;
             head = null;
-            memory.release(body.lengthBytes());
-            listener.onRequest(request, body.takeArray());
+            memory.release(body.capacityBytes());
+            listener.onRequest(request, headBytes, body.takeArray());
         }
     }
 
@@ -114,7 +152,7 @@
             startStreaming(context, more);
             return;
         }
-        if (!memory.tryReserve(count)) {
+        if (!memory.tryReserve(body.growthBytes(count))) {
             reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "no room for bodies: trying again is harmless");
             return;
         }
@@ -124,12 +162,12 @@
     private void startStreaming(ChannelHandlerContext context, ByteBuf more) {
         HttpRequest request = head;
         head = null;
-        memory.release(body.lengthBytes());
+        memory.release(body.capacityBytes());
         stream = new BodyStream(context.channel(), HttpUtil.getContentLength(request, -1L), memory);
         streamedBytes = body.lengthBytes();
         stream.write(body.takeByteBuf());
         writeToStream(more);
-        listener.onStreamedRequest(request, stream);
+        listener.onStreamedRequest(request, headBytes, stream);
     }
 
     private void writeToStream(ByteBuf more) {
@@ -141,6 +179,14 @@
         }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (stream != null) {
+            stream.flush();
+        }
+        context.fireChannelReadComplete();
+    }
+
     private void reject(HttpResponseStatus status, String reason) {
         close();
         listener.onInvalidRequest(status, reason);
@@ -153,8 +199,10 @@
             stream.abort();
             stream = null;
         }
+        connectionMemory.release(headMemory.take());
         if (head != null) {
-            memory.release(body.lengthBytes());
+            memory.release(body.capacityBytes());
+            connectionMemory.release(headBytes);
         }
         head = null;
         body.clear();
--- a/balancer/src/main/java/loadbalancer/http/ResponseWriter.java
+++ b/balancer/src/main/java/loadbalancer/http/ResponseWriter.java
@@ -12,14 +12,21 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import loadbalancer.transport.ConnectionMemory;
 import loadbalancer.transport.UpstreamResponse;
 
 /** Creates the HTTP messages for responses and writes them to one client. Used on the event loop's thread only. */
 final class ResponseWriter {
+    /** Heap of a response besides its body. */
+    private static final int HEAD_BYTES = 512;
+
     private final Channel channel;
+    private final ConnectionMemory memory;
 
-    ResponseWriter(Channel channel) {
+    /** Creates a writer; responses are counted against {@code memory} until they have been written to the socket. */
+    ResponseWriter(Channel channel, ConnectionMemory memory) {
         this.channel = channel;
+        this.memory = memory;
     }
 
     /**
@@ -42,7 +49,9 @@
             response.headers().set(extraName, extraValue);
         }
         setConnection(response, keepAlive);
-        return channel.writeAndFlush(response);
+        int heldBytes = HEAD_BYTES + body.readableBytes();
+        memory.reserve(heldBytes);
+        return channel.writeAndFlush(response).addListener(written -> memory.release(heldBytes));
     }
 
     /** Writes the head of a streamed response without flushing it. */
--- a/balancer/src/main/java/loadbalancer/process/BalancerProcess.java
+++ b/balancer/src/main/java/loadbalancer/process/BalancerProcess.java
@@ -32,6 +32,7 @@
 import loadbalancer.policy.LoadBalancingPolicy;
 import loadbalancer.policy.PolicySettings;
 import loadbalancer.routing.RoutingGateway;
+import loadbalancer.transport.MemoryBudgets;
 import loadbalancer.upstream.UpstreamConnectionPool;
 
 /**
@@ -99,24 +100,18 @@
         DescriptorBudget descriptors = new DescriptorBudget(config.maxDescriptors());
         LoadBalancingPolicy policy = policies.apply(config.boot().policySettings(), config.seed());
         RequestDispatcher dispatcher = new RequestDispatcher(loop, config.boot(), policy, log);
+        MemoryBudgets memory = MemoryBudgets.create();
         UpstreamConnectionPool upstreams =
-                new UpstreamConnectionPool(loop, config.boot(), descriptors, dispatcher::nowMicros);
+                new UpstreamConnectionPool(loop, config.boot(), descriptors, memory.responses(), dispatcher::nowMicros);
         EndpointSubset subset = new EndpointSubset(
                 config.maxEndpoints(), config.boot().policySettings().rank());
-        discovery = new DiscoveryClient(
-                loop,
-                config.discovery(),
-                config.boot(),
-                subset,
-                config.knownList().version(),
-                dispatcher::nowMicros,
-                this::endpointsListed,
-                log::info);
+        discovery = createDiscovery(config, subset, dispatcher);
         clients = new ClientListener(
                 loop,
                 config.boot(),
                 dispatcher,
                 descriptors,
+                memory,
                 upstreams::closeLongestIdle,
                 unreadTime::estimateUnreadMicros);
         upstreams.setReclaimer(clients::closeLeastNeeded);
@@ -129,7 +124,16 @@
         reconfiguration = new Reconfiguration(
                 config,
                 new Reconfiguration.Components(
-                        loop, policies, descriptors, dispatcher, upstreams, clients, membership, discovery, pools),
+                        loop,
+                        policies,
+                        descriptors,
+                        memory,
+                        dispatcher,
+                        upstreams,
+                        clients,
+                        membership,
+                        discovery,
+                        pools),
                 log);
         handover = new HandoverParticipant(
                 loop, platform.handoverDirectory(), pools, descriptors, reconfiguration::settings, log);
@@ -140,6 +144,19 @@
         admin = new AdminListener(loop, operatorCalls);
     }
 
+    private DiscoveryClient createDiscovery(
+            BalancerConfig config, EndpointSubset subset, RequestDispatcher dispatcher) {
+        return new DiscoveryClient(
+                loop,
+                config.discovery(),
+                config.boot(),
+                subset,
+                config.knownList().version(),
+                dispatcher::nowMicros,
+                this::endpointsListed,
+                log::info);
+    }
+
     /**
      * Starts to accept operators' calls; may be called before the process is ready.
      *
--- a/balancer/src/main/java/loadbalancer/process/Reconfiguration.java
+++ b/balancer/src/main/java/loadbalancer/process/Reconfiguration.java
@@ -17,6 +17,7 @@
 import loadbalancer.routing.RoutingGateway;
 import loadbalancer.routing.SitePool;
 import loadbalancer.settings.BootSettings;
+import loadbalancer.transport.MemoryBudgets;
 import loadbalancer.upstream.UpstreamConnectionPool;
 
 /**
@@ -32,6 +33,7 @@
             EventLoop loop,
             BiFunction<PolicySettings, Long, LoadBalancingPolicy> policies,
             DescriptorBudget descriptors,
+            MemoryBudgets memory,
             RequestDispatcher dispatcher,
             UpstreamConnectionPool upstreams,
             ClientListener clients,
@@ -156,6 +158,7 @@
                 config.seed(),
                 config.maxEndpoints(),
                 components.descriptors,
+                components.memory.responses(),
                 components.clients::closeLeastNeeded,
                 log);
         return new RoutingGateway(
@@ -163,6 +166,6 @@
                 environment,
                 config.boot(),
                 components.descriptors.maxUpstreamConnections(),
-                ClientListener.MAX_BODY_MEMORY_BYTES);
+                MemoryBudgets.REQUEST_BODY_BYTES);
     }
 }
--- a/balancer/src/main/java/loadbalancer/process/WarmUp.java
+++ b/balancer/src/main/java/loadbalancer/process/WarmUp.java
@@ -23,6 +23,8 @@
 import loadbalancer.settings.BootSettings;
 import loadbalancer.transport.HeaderNames;
 import loadbalancer.transport.InboundRequest;
+import loadbalancer.transport.MemoryBudget;
+import loadbalancer.transport.MemoryBudgets;
 import loadbalancer.upstream.UpstreamConnectionPool;
 
 /**
@@ -83,8 +85,11 @@
         LoadBalancingPolicy policy = new JsqDasPolicy(settings.policySettings(), config.seed());
         dispatcher = new RequestDispatcher(loop, settings, policy, line -> {});
         DescriptorBudget descriptors = new DescriptorBudget(config.maxDescriptors());
-        upstreams = new UpstreamConnectionPool(loop, settings, descriptors, dispatcher::nowMicros, address);
-        clients = new UpstreamConnectionPool(loop, settings, descriptors, dispatcher::nowMicros, address);
+        MemoryBudget responseMemory = MemoryBudgets.create().responses();
+        upstreams =
+                new UpstreamConnectionPool(loop, settings, descriptors, responseMemory, dispatcher::nowMicros, address);
+        clients =
+                new UpstreamConnectionPool(loop, settings, descriptors, responseMemory, dispatcher::nowMicros, address);
         dispatcher.attach(upstreams, null);
     }
 
--- a/balancer/src/main/java/loadbalancer/routing/PoolEnvironment.java
+++ b/balancer/src/main/java/loadbalancer/routing/PoolEnvironment.java
@@ -6,6 +6,7 @@
 import loadbalancer.logs.Log;
 import loadbalancer.policy.LoadBalancingPolicy;
 import loadbalancer.policy.PolicySettings;
+import loadbalancer.transport.MemoryBudget;
 import loadbalancer.upstream.ConnectionBudget;
 
 /**
@@ -15,6 +16,7 @@
  * @param seed the seed of the process's random source, from which each pool derives its own
  * @param maxEndpoints the maximum number of endpoints of a list that one pool uses
  * @param connectionBudget the process's budget of upstream connections
+ * @param responseMemory the process's limit on the heap of the responses that are being read
  * @param closeIdleClientConnection closes an idle client connection to free its descriptor; returns false if none is
  *     idle
  */
@@ -24,5 +26,6 @@
         long seed,
         int maxEndpoints,
         ConnectionBudget connectionBudget,
+        MemoryBudget responseMemory,
         BooleanSupplier closeIdleClientConnection,
         Log log) {}
--- a/balancer/src/main/java/loadbalancer/routing/UpstreamPool.java
+++ b/balancer/src/main/java/loadbalancer/routing/UpstreamPool.java
@@ -50,7 +50,8 @@
         long seed = environment.seed() ^ TrafficSplit.hash(spec.name());
         dispatcher = new RequestDispatcher(
                 environment.loop(), settings, environment.policyFactory().apply(settings.policySettings(), seed), log);
-        upstreams = new UpstreamConnectionPool(environment.loop(), settings, connectionBudget, dispatcher::nowMicros);
+        upstreams = new UpstreamConnectionPool(
+                environment.loop(), settings, connectionBudget, environment.responseMemory(), dispatcher::nowMicros);
         upstreams.setReclaimer(() -> upstreams.closeLongestIdle()
                 || environment.closeIdleClientConnection().getAsBoolean());
         EndpointSubset subset = new EndpointSubset(
--- a/balancer/src/main/java/loadbalancer/transport/BodyBuffer.java
+++ b/balancer/src/main/java/loadbalancer/transport/BodyBuffer.java
@@ -1,7 +1,6 @@
 package loadbalancer.transport;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import java.util.Arrays;
 
@@ -20,6 +19,25 @@
         return lengthBytes;
     }
 
+    /** Returns how many bytes of heap are held for the collected bytes. */
+    public int capacityBytes() {
+        return bytes.length;
+    }
+
+    /** Returns how many further bytes of heap are held once {@code moreBytes} have been appended. */
+    public int growthBytes(int moreBytes) {
+        return capacityFor(moreBytes) - bytes.length;
+    }
+
+    // Doubles, so that a body that arrives in many pieces is not copied for each of them.
+    private int capacityFor(int moreBytes) {
+        int neededBytes = lengthBytes + moreBytes;
+        if (lengthBytes == 0 || neededBytes <= bytes.length) {
+            return Math.max(bytes.length, neededBytes);
+        }
+        return Math.min(BodyLimits.MAX_BUFFERED_BYTES, 2 * neededBytes);
+    }
+
     /** Returns whether {@code moreBytes} further bytes stay within the limit. */
     public boolean fits(int moreBytes) {
         return lengthBytes + moreBytes <= BodyLimits.MAX_BUFFERED_BYTES;
@@ -28,14 +46,10 @@
     /** Appends the readable bytes of {@code more}, which must {@link #fits fit}; the caller still has to release it. */
     public void append(ByteBuf more) {
         int count = more.readableBytes();
-        if (lengthBytes == 0) {
-            bytes = ByteBufUtil.getBytes(more);
-        } else if (count > 0) {
-            if (lengthBytes + count > bytes.length) {
-                bytes = Arrays.copyOf(bytes, Math.min(BodyLimits.MAX_BUFFERED_BYTES, 2 * (lengthBytes + count)));
-            }
-            more.readBytes(bytes, lengthBytes, count);
+        if (growthBytes(count) > 0) {
+            bytes = Arrays.copyOf(bytes, capacityFor(count));
         }
+        more.readBytes(bytes, lengthBytes, count);
         lengthBytes += count;
     }
 
--- a/balancer/src/main/java/loadbalancer/transport/BodyStream.java
+++ b/balancer/src/main/java/loadbalancer/transport/BodyStream.java
@@ -11,8 +11,11 @@
  * A body that is forwarded as it arrives, from a source (the connection that receives it) to one {@link Sink}. Reading
  * of the source is paused while the sink is not writable. Data that arrives before the sink is set is queued.
  *
+ * <p>Small pieces are joined until the end of a read, see {@link #flush}: as an object each, they would take many times
+ * their bytes, and a slice would keep the whole buffer that it was read into.
+ *
  * <p>A disconnect of the source can be detected only after all data before it has been read, and a request must not be
- * forwarded for a client that has disconnected. So with a {@link BodyMemoryBudget} the source is also read, within
+ * forwarded for a client that has disconnected. So with a {@link MemoryBudget} the source is also read, within
  * limits, while there is no sink yet. Source and sink run on the same event loop.
  */
 public final class BodyStream {
@@ -32,12 +35,17 @@
     }
 
     private static final int MAX_QUEUED_BYTES = 1 << 20;
+    /** Smaller pieces are joined. */
+    private static final int MIN_PIECE_BYTES = 2 * 1024;
+    /** The size of the buffers for joined and for queued bytes. */
+    private static final int BLOCK_BYTES = 8 * 1024;
 
     private final Channel source;
     private final long lengthBytes;
-    private final BodyMemoryBudget memory;
+    private final MemoryBudget memory;
     private int reservedBytes; // of the memory budget, for queued data
-    private final ArrayDeque<ByteBuf> queued = new ArrayDeque<>();
+    private final ArrayDeque<ByteBuf> queued = new ArrayDeque<>(); // blocks, of which the last one may have room
+    private ByteBuf joined; // small pieces that have not been forwarded or queued; null if there are none
     private final List<Runnable> completionListeners = new ArrayList<>(1);
     private Sink sink;
     private boolean consumed;
@@ -54,7 +62,7 @@
     }
 
     /** Creates a stream whose queue is counted against {@code memory}, if that is not null. */
-    public BodyStream(Channel source, long lengthBytes, BodyMemoryBudget memory) {
+    public BodyStream(Channel source, long lengthBytes, MemoryBudget memory) {
         this.source = source;
         this.lengthBytes = lengthBytes;
         this.memory = memory;
@@ -101,9 +109,40 @@
 
     // ---- called by the source
 
-    /** Forwards or queues a part of the body, and releases it in the end. */
+    /** Forwards or queues a part of the body, and releases it in the end; a small part with the next {@link #flush}. */
     public void write(ByteBuf bytes) {
         progressAtNanos = System.nanoTime();
+        if (closed) {
+            bytes.release();
+        } else if (bytes.readableBytes() < MIN_PIECE_BYTES) {
+            join(bytes);
+        } else {
+            flush();
+            forwardOrQueue(bytes);
+        }
+    }
+
+    private void join(ByteBuf bytes) {
+        if (joined != null && joined.maxWritableBytes() < bytes.readableBytes()) {
+            flush();
+        }
+        if (joined == null) {
+            joined = Unpooled.buffer(bytes.readableBytes(), BLOCK_BYTES);
+        }
+        joined.writeBytes(bytes);
+        bytes.release();
+    }
+
+    /** Forwards or queues the small parts that have been written; called at the end of each read. */
+    public void flush() {
+        if (joined != null) {
+            ByteBuf bytes = joined;
+            joined = null;
+            forwardOrQueue(bytes);
+        }
+    }
+
+    private void forwardOrQueue(ByteBuf bytes) {
         if (closed) {
             bytes.release();
         } else if (sink == null) {
@@ -114,17 +153,32 @@
         }
     }
 
-    // The bytes are copied because a small slice would keep the whole buffer that it was read into from being freed.
+    // What has been read already is kept even if there is no memory for it; then nothing more is read.
     private void enqueue(ByteBuf bytes) {
-        int count = bytes.readableBytes();
-        if (memory != null && reservedBytes + count <= MAX_QUEUED_BYTES && memory.tryReserveDeferrable(count)) {
-            reservedBytes += count;
-            queued.add(Unpooled.copiedBuffer(bytes));
-            bytes.release();
-        } else {
-            queued.add(bytes);
+        while (bytes.isReadable()) {
+            ByteBuf block = queued.peekLast();
+            if (block == null || !block.isWritable()) {
+                block = addBlock();
+            }
+            block.writeBytes(bytes, Math.min(bytes.readableBytes(), block.writableBytes()));
+        }
+        bytes.release();
+    }
+
+    private ByteBuf addBlock() {
+        boolean available = memory != null
+                && reservedBytes + BLOCK_BYTES <= MAX_QUEUED_BYTES
+                && memory.tryReserveDeferrable(BLOCK_BYTES);
+        if (!available) {
             pause();
+            if (memory != null) {
+                memory.reserve(BLOCK_BYTES);
+            }
         }
+        reservedBytes += memory == null ? 0 : BLOCK_BYTES;
+        ByteBuf block = Unpooled.buffer(BLOCK_BYTES, BLOCK_BYTES);
+        queued.add(block);
+        return block;
     }
 
     private void releaseMemory() {
@@ -136,6 +190,7 @@
 
     /** Marks the body as complete: its last byte has been written. */
     public void complete() {
+        flush();
         complete = true;
         completionListeners.forEach(Runnable::run);
         completionListeners.clear();
@@ -161,6 +216,7 @@
 
     /** Forwards the queued data and all further data to {@code newSink}. */
     public void forwardTo(Sink newSink) {
+        flush();
         sink = newSink;
         consumed = true;
         while (!queued.isEmpty()) {
@@ -192,6 +248,10 @@
         while (!queued.isEmpty()) {
             queued.poll().release();
         }
+        if (joined != null) {
+            joined.release();
+            joined = null;
+        }
         releaseMemory();
         resume();
     }
--- a/balancer/src/main/java/loadbalancer/transport/InboundRequest.java
+++ b/balancer/src/main/java/loadbalancer/transport/InboundRequest.java
@@ -1,5 +1,6 @@
 package loadbalancer.transport;
 
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 
@@ -31,6 +32,8 @@
         long timeLeftMicros,
         long workEstimateMicros,
         boolean clientRetry) {
+    private static final byte[] NO_BODY = new byte[0];
+
     /** Returns a copy of the request with another time left, in microseconds. */
     public InboundRequest withTimeLeft(long otherTimeLeftMicros) {
         return new InboundRequest(
@@ -48,6 +51,23 @@
                 clientRetry);
     }
 
+    /** Returns a copy without headers and without the buffered body, for a request that is not sent again. */
+    public InboundRequest withoutContent() {
+        return new InboundRequest(
+                id,
+                method,
+                uri,
+                EmptyHttpHeaders.INSTANCE,
+                NO_BODY,
+                streamedBody,
+                requestClass,
+                tenant,
+                key,
+                timeLeftMicros,
+                workEstimateMicros,
+                clientRetry);
+    }
+
     /** Returns a copy of the request with another path and query. */
     public InboundRequest withUri(String otherUri) {
         return new InboundRequest(
--- a/balancer/src/main/java/loadbalancer/upstream/ResponseReader.java
+++ b/balancer/src/main/java/loadbalancer/upstream/ResponseReader.java
@@ -19,6 +19,9 @@
 import loadbalancer.transport.BodyBuffer;
 import loadbalancer.transport.BodyLimits;
 import loadbalancer.transport.BodyStream;
+import loadbalancer.transport.ConnectionMemory;
+import loadbalancer.transport.HeadMemory;
+import loadbalancer.transport.MemoryBudget;
 import loadbalancer.transport.UpstreamResponse;
 
 /**
@@ -50,7 +53,9 @@
     }
 
     private final Listener listener;
-    private final UpstreamResponseDecoder decoder = new UpstreamResponseDecoder(this);
+    private final ConnectionMemory memory; // of the response that is being read
+    private final HeadMemory headMemory;
+    private final UpstreamResponseDecoder decoder;
     private boolean responseExpected; // a request has been sent and has no complete response yet
     private boolean invalid;
     private boolean abnormalEnd; // the connection ended with an error
@@ -66,8 +71,12 @@
     private boolean streamComplete; // the last byte of the stream has arrived
     private Future<?> streamingTimer;
 
-    ResponseReader(Listener listener) {
+    /** Creates a reader; what it holds of a response is counted against {@code memory}. */
+    ResponseReader(Listener listener, MemoryBudget memory) {
         this.listener = listener;
+        this.memory = new ConnectionMemory(memory);
+        headMemory = new HeadMemory(this.memory);
+        decoder = new UpstreamResponseDecoder(this, headMemory);
     }
 
     ChannelHandler decoder() {
@@ -107,7 +116,7 @@
         if (!invalid && part instanceof HttpContent content) {
             boolean last = part instanceof LastHttpContent;
             if (inInformationalResponse) {
-                inInformationalResponse = !last; // the final response is still to come
+                readInformational(last);
             } else if (stream != null) {
                 readStreamed(content.content(), last);
             } else {
@@ -116,6 +125,15 @@
         }
     }
 
+    // The final response is still to come.
+    private void readInformational(boolean last) {
+        inInformationalResponse = !last;
+        if (last) {
+            headMemory.take();
+            memory.releaseAll();
+        }
+    }
+
     private void readHead(HttpResponse response) {
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             inInformationalResponse = true;
@@ -126,6 +144,7 @@
             return;
         }
         head = response;
+        headMemory.take(); // held until the response ends
         body.clear();
         List<String> transferCodings = response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
         boolean chunked =
@@ -158,17 +177,16 @@
 
     private void readBuffered(ChannelHandlerContext context, ByteBuf more, boolean last) {
         boolean streamable = mayStream();
-        boolean fits = body.fits(more.readableBytes());
-        boolean tooLarge = declaredLengthBytes > BodyLimits.MAX_BUFFERED_BYTES && more.isReadable() || !fits;
-        if (streamable && !last && tooLarge) {
-            startStreaming(context, more);
-            return;
-        }
-        if (!fits) {
-            invalidate();
+        boolean tooLarge = declaredLengthBytes > BodyLimits.MAX_BUFFERED_BYTES && more.isReadable();
+        if (streamable && tooLarge || !tryBuffer(more)) {
+            if (streamable) {
+                startStreaming(context, more);
+                streamComplete = last;
+            } else {
+                invalidate();
+            }
             return;
         }
-        body.append(more);
         if (last) {
             completeBuffered();
         } else if (streamable && declaredLengthBytes < 0 && body.lengthBytes() > 0 && streamingTimer == null) {
@@ -177,6 +195,15 @@
         }
     }
 
+    private boolean tryBuffer(ByteBuf more) {
+        int count = more.readableBytes();
+        if (!body.fits(count) || !memory.tryReserve(body.growthBytes(count))) {
+            return false;
+        }
+        body.append(more);
+        return true;
+    }
+
     private void completeBuffered() {
         if (closeDelimited && abnormalEnd) {
             invalidate();
@@ -203,6 +230,7 @@
             stream.write(more.retain());
         }
         listener.onResponseStarted(new UpstreamResponse(head.status().code(), head.headers(), NO_BODY, stream));
+        memory.releaseAll(); // the client's connection holds what it has not written
     }
 
     private void cancelStreamingTimer() {
@@ -216,23 +244,35 @@
     // a duplicate of the response right behind it would be taken for the response to the next request.
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
+        if (stream != null && !invalid) {
+            stream.flush();
+        }
         if (streamComplete && !invalid) {
             boolean reusable = isReusable();
             BodyStream ending = stream;
             stream = null;
             streamComplete = false;
-            responseExpected = false;
+            endResponse();
             ending.complete();
             listener.onResponseComplete(reusable);
         } else if (completeResponse != null) {
             UpstreamResponse response = completeResponse;
             completeResponse = null;
-            responseExpected = false;
-            listener.onResponse(response, !invalid && isReusable());
+            boolean reusable = !invalid && isReusable();
+            endResponse();
+            listener.onResponse(response, reusable);
         }
         context.fireChannelReadComplete();
     }
 
+    // An idle connection must not hold the head of its last response.
+    private void endResponse() {
+        responseExpected = false;
+        head = null;
+        headMemory.take();
+        memory.releaseAll();
+    }
+
     private boolean isReusable() {
         return !decoder.hasUndecodedBytes() && HttpUtil.isKeepAlive(head) && !closeDelimited;
     }
@@ -244,6 +284,7 @@
         if (stream != null) {
             invalidate();
         }
+        memory.releaseAll();
         super.channelInactive(context);
     }
 
@@ -255,6 +296,7 @@
             stream.abort();
         }
         if (completeResponse == null) {
+            memory.releaseAll();
             listener.onInvalidResponse();
         }
     }
--- a/balancer/src/main/java/loadbalancer/upstream/UpstreamCall.java
+++ b/balancer/src/main/java/loadbalancer/upstream/UpstreamCall.java
@@ -25,7 +25,7 @@
 
     private static final long PROBE_TIMEOUT_MILLIS = 0; // a probe is sent without a deadline
 
-    private final InboundRequest request;
+    private InboundRequest request; // null once it has been written completely
     private final long timeoutMillis;
     private final long createdAtNanos = System.nanoTime();
     private final Listener listener;
@@ -53,6 +53,11 @@
         return request;
     }
 
+    /** Called when the last byte of the request has been written: only the response is still awaited. */
+    void requestWritten() {
+        request = null;
+    }
+
     boolean isProbe() {
         return timeoutMillis == PROBE_TIMEOUT_MILLIS;
     }
@@ -76,9 +81,9 @@
         state = State.ASSIGNED;
     }
 
-    /** Returns whether the call is assigned to a connection that has not started to write the request. */
-    public boolean isWaitingForConnection() {
-        return connection != null && !connection.hasStartedRequest();
+    /** Returns whether the call is assigned to a connection that has not written the request completely. */
+    public boolean isUnsent() {
+        return connection != null && !connection.hasSentRequest();
     }
 
     /**
--- a/balancer/src/main/java/loadbalancer/upstream/UpstreamConnection.java
+++ b/balancer/src/main/java/loadbalancer/upstream/UpstreamConnection.java
@@ -31,7 +31,7 @@
     private final UpstreamConnector connector;
     private final UpstreamEndpoint endpoint;
     private final InetSocketAddress address; // the address of the endpoint when the connection was opened
-    private final ResponseReader reader = new ResponseReader(this);
+    private final ResponseReader reader;
     private Channel channel;
     private UpstreamCall call;
     private RequestProgress progress = RequestProgress.NOT_STARTED;
@@ -44,6 +44,7 @@
         this.connector = connector;
         this.endpoint = endpoint;
         this.address = endpoint.address();
+        this.reader = new ResponseReader(this, connector.responseMemory());
         assign(call);
     }
 
@@ -81,6 +82,11 @@
         return progress != RequestProgress.NOT_STARTED;
     }
 
+    /** Returns whether the last byte of the request has been written. */
+    boolean hasSentRequest() {
+        return progress == RequestProgress.SENT;
+    }
+
     boolean isProcessing(UpstreamCall other) {
         return call == other;
     }
@@ -142,6 +148,7 @@
         }
         if (success) {
             progress = RequestProgress.SENT;
+            sentCall.requestWritten();
         } else {
             progress = RequestProgress.SENDING;
             endCall(AttemptOutcome.CONNECT_FAILED, null, null);
--- a/balancer/src/main/java/loadbalancer/upstream/UpstreamConnectionPool.java
+++ b/balancer/src/main/java/loadbalancer/upstream/UpstreamConnectionPool.java
@@ -14,6 +14,7 @@
 import loadbalancer.policy.EndpointState;
 import loadbalancer.settings.BootSettings;
 import loadbalancer.transport.InboundRequest;
+import loadbalancer.transport.MemoryBudget;
 
 /**
  * The connections to the endpoints of one pool. Sends each request on an idle connection, or on a new one if none is
@@ -34,13 +35,18 @@
 
     /** Creates a pool that connects to each endpoint at its own address; {@code clock} returns microseconds. */
     public UpstreamConnectionPool(
-            EventLoop loop, BootSettings siteSettings, ConnectionBudget budget, LongSupplier clock) {
-        this(loop, siteSettings, budget, clock, null);
+            EventLoop loop,
+            BootSettings siteSettings,
+            ConnectionBudget budget,
+            MemoryBudget responseMemory,
+            LongSupplier clock) {
+        this(loop, siteSettings, budget, responseMemory, clock, null);
     }
 
     /**
      * Creates a pool.
      *
+     * @param responseMemory limits the heap of the responses that are being read
      * @param clock returns microseconds
      * @param fixedAddress the address to connect to for all endpoints, or null to use their own addresses
      */
@@ -48,12 +54,13 @@
             EventLoop loop,
             BootSettings siteSettings,
             ConnectionBudget budget,
+            MemoryBudget responseMemory,
             LongSupplier clock,
             UnixDomainSocketAddress fixedAddress) {
         this.loop = loop;
         this.siteSettings = siteSettings;
         this.clock = clock;
-        connector = new UpstreamConnector(loop, siteSettings, budget, clock, fixedAddress);
+        connector = new UpstreamConnector(loop, siteSettings, budget, responseMemory, clock, fixedAddress);
         evictor = new IdleConnectionEvictor(endpoints.values(), connector);
         connector.setReclaimer(this::closeLongestIdle);
     }
--- a/balancer/src/main/java/loadbalancer/upstream/UpstreamConnector.java
+++ b/balancer/src/main/java/loadbalancer/upstream/UpstreamConnector.java
@@ -14,6 +14,7 @@
 import loadbalancer.policy.AttemptOutcome;
 import loadbalancer.settings.BootSettings;
 import loadbalancer.transport.ChannelBufferSettings;
+import loadbalancer.transport.MemoryBudget;
 
 /**
  * Opens connections within the budget and provides their timeouts. Used on the event loop's thread only.
@@ -25,6 +26,7 @@
 
     private final EventLoop loop;
     private final ConnectionBudget budget;
+    private final MemoryBudget responseMemory;
     private final LongSupplier clock;
     private final UnixDomainSocketAddress fixedAddress; // null: connect to the address of each endpoint
     private final Bootstrap bootstrap;
@@ -36,10 +38,12 @@
             EventLoop loop,
             BootSettings siteSettings,
             ConnectionBudget budget,
+            MemoryBudget responseMemory,
             LongSupplier clock,
             UnixDomainSocketAddress fixedAddress) {
         this.loop = loop;
         this.budget = budget;
+        this.responseMemory = responseMemory;
         this.clock = clock;
         this.fixedAddress = fixedAddress;
         reconfigure(siteSettings);
@@ -69,6 +73,11 @@
         return loop;
     }
 
+    /** Returns the limit on the heap that responses take until the clients' connections hold them. */
+    MemoryBudget responseMemory() {
+        return responseMemory;
+    }
+
     long nowMicros() {
         return clock.getAsLong();
     }
--- a/balancer/src/main/java/loadbalancer/upstream/UpstreamResponseDecoder.java
+++ b/balancer/src/main/java/loadbalancer/upstream/UpstreamResponseDecoder.java
@@ -1,11 +1,14 @@
 package loadbalancer.upstream;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
+import java.util.List;
+import loadbalancer.transport.HeadMemory;
 
 /**
  * Decodes responses strictly: a response that two parsers could understand differently is an error. Placed directly
@@ -16,10 +19,12 @@
     private static final int MAX_HEADER_BYTES = 8 * 1024;
 
     private final ResponseReader reader;
+    private final HeadMemory headMemory;
 
-    UpstreamResponseDecoder(ResponseReader reader) {
+    UpstreamResponseDecoder(ResponseReader reader, HeadMemory headMemory) {
         super(new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES));
         this.reader = reader;
+        this.headMemory = headMemory;
     }
 
     /** Returns whether bytes have been read that are not decoded as part of a response yet. */
@@ -37,6 +42,19 @@
         }
     }
 
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> out) throws Exception {
+        int readableBytes = bytes.readableBytes();
+        super.decode(context, bytes, out);
+        headMemory.count(readableBytes - bytes.readableBytes(), out);
+    }
+
+    @Override
+    protected HttpMessage createMessage(String[] initialLine) {
+        headMemory.messageStarted();
+        return super.createMessage(initialLine);
+    }
+
     // By default, the decoder ignores the Content-Length header and continues.
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
@@ -49,6 +67,7 @@
         if (start + size >= line.length || line[start + size] != ':') {
             throw new IllegalArgumentException("header line without a colon");
         }
+        headMemory.lineDecoded();
         return super.splitHeaderName(line, start, size);
     }
 }
--- a/balancer/src/test/java/loadbalancer/http/RequestReaderTest.java
+++ b/balancer/src/test/java/loadbalancer/http/RequestReaderTest.java
@@ -18,8 +18,11 @@
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import loadbalancer.transport.BodyLimits;
-import loadbalancer.transport.BodyMemoryBudget;
 import loadbalancer.transport.BodyStream;
+import loadbalancer.transport.ConnectionMemory;
+import loadbalancer.transport.HeadMemory;
+import loadbalancer.transport.MemoryBudget;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -38,25 +41,28 @@
     }
 
     /** Records the requests as they end. */
-    private static final class RecordingListener implements RequestReader.Listener {
+    private static class RecordingListener implements RequestReader.Listener {
         final List<byte[]> bodies = new ArrayList<>();
         ByteArrayOutputStream streamed;
         String problem;
 
+        void onPiece() {}
+
         @Override
         public void onHead(HttpRequest head) {}
 
         @Override
-        public void onRequest(HttpRequest head, byte[] body) {
+        public void onRequest(HttpRequest head, int headBytes, byte[] body) {
             bodies.add(body);
         }
 
         @Override
-        public void onStreamedRequest(HttpRequest head, BodyStream body) {
+        public void onStreamedRequest(HttpRequest head, int headBytes, BodyStream body) {
             streamed = new ByteArrayOutputStream();
             body.forwardTo(new BodyStream.Sink() {
                 @Override
                 public void onData(ByteBuf bytes) {
+                    onPiece();
                     streamed.writeBytes(ByteBufUtil.getBytes(bytes));
                     bytes.release();
                 }
@@ -127,10 +133,39 @@
         }
     }
 
+    /** As an object each, pieces of one byte would take a hundred times their bytes. */
+    @Test
+    void smallPiecesAreJoined() {
+        int[] pieces = new int[1];
+        RecordingListener listener = new RecordingListener() {
+            @Override
+            void onPiece() {
+                pieces[0]++;
+            }
+        };
+        MemoryBudget memory = new MemoryBudget(MEMORY_BYTES);
+        EmbeddedChannel channel = channel(listener, memory);
+        int size = 200_000;
+        StringBuilder message = new StringBuilder("POST /api/k1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+        message.append("1\r\nx\r\n".repeat(size)).append("0\r\n\r\n");
+        channel.writeInbound(Unpooled.copiedBuffer(message, StandardCharsets.ISO_8859_1));
+        assertEquals(size, listener.bodies.get(0).length);
+        assertTrue(pieces[0] <= size / 4_096, size + " bytes came in " + pieces[0] + " pieces");
+        channel.finishAndReleaseAll();
+    }
+
+    private static EmbeddedChannel channel(RequestReader.Listener listener, MemoryBudget memory) {
+        ConnectionMemory connectionMemory = new ConnectionMemory(new MemoryBudget(MEMORY_BYTES));
+        HeadMemory headMemory = new HeadMemory(connectionMemory);
+        return new EmbeddedChannel(
+                new ClientRequestDecoder(headMemory),
+                new RequestReader(listener, memory, headMemory, connectionMemory));
+    }
+
     private static void assertBodiesAreRead(List<Integer> sizes, byte[] messages, List<Integer> pieceEnds) {
         RecordingListener listener = new RecordingListener();
-        BodyMemoryBudget memory = new BodyMemoryBudget(MEMORY_BYTES);
-        EmbeddedChannel channel = new EmbeddedChannel(new ClientRequestDecoder(), new RequestReader(listener, memory));
+        MemoryBudget memory = new MemoryBudget(MEMORY_BYTES);
+        EmbeddedChannel channel = channel(listener, memory);
         int begin = 0;
         for (int end : pieceEnds) {
             channel.writeInbound(Unpooled.copiedBuffer(messages, begin, end - begin));
--- a/balancer/src/test/java/loadbalancer/process/BodyStreamTest.java
+++ b/balancer/src/test/java/loadbalancer/process/BodyStreamTest.java
@@ -340,12 +340,13 @@
             }
             client.send(postHead("Transfer-Encoding: chunked") + chunk("x".repeat(200_000)));
             assertEquals(inService ? "2 k1 -1 false" : "0 k1 700 true", policy.requests.poll(20, TimeUnit.SECONDS));
+            client.send("zz\r\n");
             if (!inService) {
-                client.send("zz\r\n");
+                for (int i = 0; i < 100; i++) { // each lets the balancer read a part of what has arrived
+                    balancer.loop().submit(() -> {}).awaitUninterruptibly();
+                }
                 upstream.nextRequest().respond(200, "", "ok");
                 assertEquals(200, client.readStatus());
-            } else {
-                client.send("zz\r\n");
             }
             assertEquals(400, client.readStatus());
             assertNull(client.readResponse(), "expected one response and then the end of the connection");
--- a/balancer/src/test/java/loadbalancer/process/ClientProtectionTest.java
+++ b/balancer/src/test/java/loadbalancer/process/ClientProtectionTest.java
@@ -312,4 +312,45 @@
             }
         }
     }
+
+    /** Short lines take twenty times their bytes of the heap, so their number is limited too. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "Transfer-Encoding: chunked\r\n\r\n0\r\n"})
+    void tooManyHeaderOrTrailerLinesAreRejected(String linesAndBody) throws IOException, InterruptedException {
+        start();
+        try (Client client = new Client(listenAddress)) {
+            client.send("POST /api/k HTTP/1.1\r\nHost: x\r\n" + linesAndBody + "X: 1\r\n".repeat(101));
+            int status = client.readStatus();
+            assertTrue(status == 431 || status == 400, "status " + status);
+            assertNull(client.readResponse());
+        }
+    }
+
+    /** The heads of many clients together are limited; an ordinary head has its place all the same. */
+    @Test
+    void headsOfManyClientsTogetherAreLimited() throws IOException, InterruptedException {
+        start();
+        String largeHead = "GET /api/k HTTP/1.1\r\n" + ("X: " + "y".repeat(70) + "\r\n").repeat(99);
+        List<Client> clients = new ArrayList<>();
+        try (Client ordinary = new Client(listenAddress)) {
+            for (int i = 0; i < 300; i++) {
+                clients.add(new Client(listenAddress).send(largeHead));
+            }
+            ordinary.send(IDEMPOTENT_REQUEST);
+            upstream.nextRequest().respond(200, "", "ok");
+            assertEquals(200, ordinary.readStatus());
+            int rejected = 0;
+            for (Client client : clients) {
+                String head = client.readResponse(); // or a timeout, or the close that makes room for new connections
+                rejected += head != null && head.startsWith("HTTP/1.1 503") ? 1 : 0;
+            }
+            assertTrue(rejected > 0, "300 heads of 22 KB of heap were accepted");
+            assertTrue(rejected < 300, "no head was accepted");
+            assertEquals(400, new Client(listenAddress).send(largeHead + "\r\n").readStatus()); // it has no Req-Id
+        } finally {
+            for (Client client : clients) {
+                client.close();
+            }
+        }
+    }
 }
--- a/balancer/src/test/java/loadbalancer/process/DescriptorExhaustionTest.java
+++ b/balancer/src/test/java/loadbalancer/process/DescriptorExhaustionTest.java
@@ -3,10 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -26,82 +23,26 @@
 
     private FakeUpstream upstream;
     private FakeUpstream discovery;
-    private Path config;
-    private Process process;
-    private BufferedReader err;
-    private InetSocketAddress listenAddress;
+    private ChildBalancer balancer;
 
     @BeforeEach
     void open() throws IOException {
         upstream = new FakeUpstream();
         discovery = new FakeUpstream();
-        config = Files.createTempFile("load-balancer", ".json");
+        balancer = new ChildBalancer(discovery, upstream.address());
     }
 
     @AfterEach
-    void close() throws IOException, InterruptedException {
-        process.destroyForcibly().waitFor();
+    void close() throws IOException {
+        balancer.close();
         upstream.close();
         discovery.close();
-        Files.delete(config);
-    }
-
-    private void start(int maxDescriptors, String membershipMode) throws IOException {
-        Files.writeString(
-                config,
-                """
-            {"name": "n1", "listen": "127.0.0.1:0", "discovery": "%s", "seed": "8c1f30d27a5be964",
-             "known": {"rev": 41, "all": true, "targets": [%s]}, "settings": {
-              "Balancers": 1, "Quantum": 5000, "MembershipMode": "%s",
-              "Classes": [{"Name": "read", "Idempotency": "safe", "GoalTime": 600000, "GiveUp": 30000000}],
-              "Limits": {"TryLimit": 3, "MayDuplicate": true, "Cancel": true, "Probes": true},
-              "Rules": {"AnswerSlack": 20000, "DrainGrace": 1000000, "AskWithin": 10000000, "ColdFrom": 0.2,
-                "RampTime": 20000000, "OverloadFactor": 2.5, "Fall": 1500000}}}
-            """
-                        .formatted(discovery.address(), endpointEntry(), membershipMode));
-        ProcessBuilder builder = new ProcessBuilder(
-                "sh",
-                "-c",
-                "ulimit -n " + maxDescriptors + "; exec \"$0\" \"$@\"",
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-cp",
-                System.getProperty("java.class.path"),
-                "loadbalancer.Main",
-                "serve");
-        builder.environment().keySet().removeIf(name -> name.startsWith("ROUTER_"));
-        builder.environment().put("ROUTER_CONFIG", config.toString());
-        process = builder.start();
-        err = process.errorReader(StandardCharsets.UTF_8);
-        String line = nextWith("listening on ");
-        listenAddress = new InetSocketAddress("127.0.0.1", Integer.parseInt(line.substring(line.lastIndexOf(':') + 1)));
-    }
-
-    private String endpointEntry() {
-        return "{\"uid\": \"s1\", \"endpoint\": \"" + upstream.address()
-                + "\", \"state\": \"in_service\", \"boot_ms\": 0}";
-    }
-
-    private String nextWith(String word) throws IOException {
-        String line = err.readLine();
-        while (line != null && !line.contains(word)) {
-            line = err.readLine();
-        }
-        assertTrue(line != null, "the process ended without a line that contains: " + word);
-        return line;
     }
 
     private static void run(String... command) throws IOException, InterruptedException {
         assertEquals(0, new ProcessBuilder(command).inheritIO().start().waitFor());
     }
 
-    private void assertRequestIsServed() throws IOException, InterruptedException {
-        try (BalancerFixture.Client client = new BalancerFixture.Client(listenAddress)) {
-            client.send(BalancerFixture.IDEMPOTENT_REQUEST);
-            upstream.nextRequest().respond(200, "", "ok");
-            assertEquals(200, client.readStatus());
-        }
-    }
-
     /**
      * Discovery is down, and clients that send one request and stay connected use all descriptors that clients may use.
      */
@@ -109,14 +50,14 @@
     @ValueSource(strings = {"ask", "push"})
     void idleClientsLeaveDescriptorsToDiscoveryAndTheNextConfiguration(String membershipMode)
             throws IOException, InterruptedException {
-        start(128, membershipMode);
+        balancer.start(128, membershipMode, List.of());
         FakeUpstream.ReceivedRequest watch = discovery.nextRequest();
         watch.write(WATCH_RESPONSE_HEAD + BalancerFixture.chunk("\n"));
-        assertRequestIsServed();
+        balancer.assertServes(upstream);
         List<BalancerFixture.Client> idleClients = new ArrayList<>();
         try {
             for (int i = 0; i < 200; i++) {
-                BalancerFixture.Client idleClient = new BalancerFixture.Client(listenAddress);
+                BalancerFixture.Client idleClient = new BalancerFixture.Client(balancer.listenAddress());
                 idleClients.add(idleClient);
                 if (i < 30) {
                     idleClient.send(READY_REQUEST).readStatus();
@@ -130,15 +71,17 @@
             }
             watch.write(WATCH_RESPONSE_HEAD + BalancerFixture.chunk("\n"));
             long openDescriptors;
-            try (Stream<Path> open = Files.list(Path.of("/proc", String.valueOf(process.pid()), "fd"))) {
+            try (Stream<Path> open = Files.list(Path.of("/proc", String.valueOf(balancer.pid()), "fd"))) {
                 openDescriptors = open.count();
             }
             // The descriptors of the process itself, and of as many clients as it accepts.
             assertTrue(openDescriptors > 41 && openDescriptors <= 128, openDescriptors + " descriptors");
-            Files.writeString(config, Files.readString(config).replace("\"seed\"", "\"noted\": 1, \"seed\""));
-            run("kill", "-HUP", String.valueOf(process.pid()));
-            nextWith("configuration reloaded");
-            assertRequestIsServed();
+            Files.writeString(
+                    balancer.config(),
+                    Files.readString(balancer.config()).replace("\"seed\"", "\"noted\": 1, \"seed\""));
+            run("kill", "-HUP", String.valueOf(balancer.pid()));
+            balancer.nextLineWith("configuration reloaded");
+            balancer.assertServes(upstream);
         } finally {
             for (BalancerFixture.Client idleClient : idleClients) {
                 idleClient.close();
@@ -151,23 +94,23 @@
     @ValueSource(strings = {"ask", "push"})
     void callsThatFindNoDescriptorAreRetriedOnceThereIsOne(String membershipMode)
             throws IOException, InterruptedException {
-        start(256, membershipMode);
+        balancer.start(256, membershipMode, List.of());
         discovery.nextRequest().socket().close(); // loads the classes that a failed call needs
         FakeUpstream.ReceivedRequest watch = discovery.nextRequest();
         watch.write(WATCH_RESPONSE_HEAD + BalancerFixture.chunk("\n"));
-        try (BalancerFixture.Client client = new BalancerFixture.Client(listenAddress)) {
+        try (BalancerFixture.Client client = new BalancerFixture.Client(balancer.listenAddress())) {
             client.send(BalancerFixture.IDEMPOTENT_REQUEST);
             FakeUpstream.ReceivedRequest received = upstream.nextRequest();
             received.respond(200, "Connection: close\r\n", "ok");
             assertEquals(200, client.readStatus());
-            run("prlimit", "--pid", String.valueOf(process.pid()), "--nofile=1:256");
+            run("prlimit", "--pid", String.valueOf(balancer.pid()), "--nofile=1:256");
             watch.socket().close();
             for (int i = 0; i < 200; i++) { // more attempts than the balancer may have descriptors
                 client.send(BalancerFixture.IDEMPOTENT_REQUEST);
                 int status = client.readStatus();
                 assertTrue(status == 503 || status == 502, "status " + status);
             }
-            run("prlimit", "--pid", String.valueOf(process.pid()), "--nofile=256:256");
+            run("prlimit", "--pid", String.valueOf(balancer.pid()), "--nofile=256:256");
             discovery.nextRequest().write(WATCH_RESPONSE_HEAD + BalancerFixture.chunk("\n"));
             client.send(BalancerFixture.IDEMPOTENT_REQUEST);
             upstream.nextRequest().respond(200, "", "ok");
--- a/balancer/src/test/java/loadbalancer/transport/BodyMemoryBudgetTest.java
+++ b/balancer/src/test/java/loadbalancer/transport/MemoryBudgetTest.java
@@ -5,10 +5,10 @@
 
 import org.junit.jupiter.api.Test;
 
-class BodyMemoryBudgetTest {
+class MemoryBudgetTest {
     @Test
     void reservationsBeyondTheCapacityAreRejected() {
-        BodyMemoryBudget memory = new BodyMemoryBudget(10);
+        MemoryBudget memory = new MemoryBudget(10);
         assertTrue(memory.tryReserve(6));
         assertFalse(memory.tryReserve(5));
         assertTrue(memory.tryReserve(4));
@@ -18,7 +18,7 @@
 
     @Test
     void deferrableReservationsLeaveHalfOfTheCapacityFree() {
-        BodyMemoryBudget memory = new BodyMemoryBudget(10);
+        MemoryBudget memory = new MemoryBudget(10);
         assertFalse(memory.tryReserveDeferrable(6));
         assertTrue(memory.tryReserveDeferrable(5));
         assertFalse(memory.tryReserveDeferrable(1));
--- a/balancer/src/test/java/loadbalancer/upstream/ResponseReaderTest.java
+++ b/balancer/src/test/java/loadbalancer/upstream/ResponseReaderTest.java
@@ -48,7 +48,8 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", "X-Pad: pppppppppppppppp\r\n"})
+    @ValueSource(
+            strings = {"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", "X-Pad: pppppppppppppppp\r\n", "X: 1\r\n"})
     void endlessResponseHeadIsReportedAsReset(String repeatedPart) throws IOException, InterruptedException {
         start();
         try (Client client = new Client(listenAddress)) {
@@ -60,6 +61,22 @@
         }
     }
 
+    /** Short lines take twenty times their bytes of the heap, so their number is limited too. */
+    @Test
+    void responseWithTooManyHeaderLinesIsReportedAsReset() throws IOException, InterruptedException {
+        start();
+        try (Client client = new Client(listenAddress)) {
+            client.send(IDEMPOTENT_REQUEST);
+            upstream.nextRequest().respond(200, "X: 1\r\n".repeat(99), "ok");
+            assertEquals("OK closed", policy.nextEvent());
+            assertEquals(200, client.readStatus());
+            client.send(IDEMPOTENT_REQUEST);
+            upstream.nextRequest().respond(200, "X: 1\r\n".repeat(100), "ok");
+            assertEquals("RESET", policy.nextEvent());
+            assertEquals(502, client.readStatus());
+        }
+    }
+
     /** The data arrives in one read with the response, and must not be taken for the response to the next request. */
     @ParameterizedTest
     @ValueSource(strings = {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst", "HTTP/1.1 20", "\u0007noise"})
--- a/core/src/main/java/loadbalancer/policy/KeyAffinity.java
+++ b/core/src/main/java/loadbalancer/policy/KeyAffinity.java
@@ -17,6 +17,9 @@
     /** Minimum number of endpoints for a key: few enough that all of them are sampled. */
     private static final int MIN_SUBSET_SIZE = 3;
 
+    /** Maximum number of keys that are counted; clients choose the keys, and a hot key is counted early. */
+    private static final int MAX_COUNTED_KEYS = 16_384;
+
     /** A key adds at most 1 / SPREAD_FACTOR of the mean load to each of its endpoints. */
     private static final double SPREAD_FACTOR = 4;
 
@@ -32,7 +35,10 @@
     /** Counts a request that its client sends for the first time; its key may be null. */
     void recordArrival(String key) {
         if (settings.current().keyAffinity() && key != null) {
-            requestCounts.merge(Hashing.hash(key), scale.unit(), Double::sum);
+            long keyHash = Hashing.hash(key);
+            if (requestCounts.size() < MAX_COUNTED_KEYS || requestCounts.containsKey(keyHash)) {
+                requestCounts.merge(keyHash, scale.unit(), Double::sum);
+            }
         }
     }
 
--- a/discovery/src/main/java/loadbalancer/discovery/DiscoveryFormat.java
+++ b/discovery/src/main/java/loadbalancer/discovery/DiscoveryFormat.java
@@ -23,6 +23,9 @@
     /** The field of a list that holds its entries. */
     static final String ENTRIES = "targets";
 
+    /** The most characters of an id: ids are kept for each endpoint. */
+    private static final int MAX_ID_CHARS = 256;
+
     private static final String VERSION = "rev";
     private static final String COMPLETE = "all";
 
@@ -82,12 +85,16 @@
     /**
      * Returns the id of an entry.
      *
-     * @throws DiscoveryFormatException if it has none
+     * @throws DiscoveryFormatException if it has none, or one that is too long
      */
     static String id(Object entry) {
         if (!(entry instanceof Map<?, ?> fields) || !(fields.get(ID) instanceof String id) || id.isEmpty()) {
             throw new DiscoveryFormatException("an entry of 'targets' is not an object with a 'uid'");
         }
+        if (id.length() > MAX_ID_CHARS) {
+            throw new DiscoveryFormatException(
+                    "a 'uid' has " + id.length() + " characters: expected " + MAX_ID_CHARS + " at most");
+        }
         return id;
     }
 
--- a/discovery/src/main/java/loadbalancer/discovery/ListReader.java
+++ b/discovery/src/main/java/loadbalancer/discovery/ListReader.java
@@ -25,8 +25,8 @@
  * source; not thread-safe.
  */
 public final class ListReader {
-    /** Maximum bytes from the end of one entry to the end of the next. */
-    private static final int MAX_ENTRY_BYTES = 4 << 20;
+    /** Maximum bytes from the end of one entry to the end of the next; parsed, they may take twenty times as much. */
+    private static final int MAX_ENTRY_BYTES = 128 << 10;
     /** Maximum bytes of one list: some 3 million entries. */
     private static final long MAX_LIST_BYTES = 1L << 29;
 
