Start the clocks of a request before its body has arrived, and end each wait

Callers saw: a request with a large body, written whole, whose upstream hangs in the middle of it, never got an answer, and the process did not end on SIGTERM.

Cause: the upstream's window is full, so the client is not read, and the last byte lies in a socket. Deadline and time-out of the attempt started when that byte was read; the time-out of the connection stands still meanwhile. A probe printed the state each 200 ms: SERVING, body complete false, autoRead false, phase 26174 ms.

An attempt whose body is not taken ends as CONNECT_FAILED: it never ran.

--- a/balancer/src/main/java/loadbalancer/dispatch/AttemptRunner.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/AttemptRunner.java
@@ -52,24 +52,20 @@
      */
     void start(OpenRequest openRequest, String endpointId, long timeoutMicros) {
         long nowMicros = clock.nowMicros();
-        Attempt attempt = new Attempt(openRequest, openRequest.attempts.size(), nowMicros);
+        Attempt attempt = new Attempt(openRequest, openRequest.attempts.size(), nowMicros, timeoutMicros);
         openRequest.attempts.add(attempt);
         openRequest.attemptsInFlight++;
         InboundRequest request = openRequest.request;
         BodyStream streamedBody = request.streamedBody();
-        boolean bodyArriving = streamedBody != null && !streamedBody.isComplete();
-        long timeLeftMicros = (bodyArriving ? request.timeLeftMicros() : openRequest.deadlineMicros - nowMicros)
-                - RequestDispatcher.LAST_RESORT_MARGIN_MICROS
-                - POLICY_RESPONSE_MARGIN_MICROS;
+        long timeLeftMicros = timeLeftMicros(openRequest, nowMicros);
         long effectiveTimeoutMicros = timeoutMicros == 0 ? timeLeftMicros : Math.min(timeoutMicros, timeLeftMicros);
         if (!maySend(attempt, effectiveTimeoutMicros)) {
             end(attempt, AttemptOutcome.NOT_SENT, null, null);
             return;
         }
-        if (bodyArriving) {
-            streamedBody.whenComplete(() -> scheduleTimeout(attempt, effectiveTimeoutMicros));
-        } else {
-            scheduleTimeout(attempt, effectiveTimeoutMicros);
+        scheduleTimeout(attempt);
+        if (!openRequest.isBodyComplete()) {
+            streamedBody.whenComplete(() -> scheduleTimeout(attempt));
         }
         attempt.call = connections.send(
                 endpointId,
@@ -88,17 +84,49 @@
                 && openRequest.responder.tryStartAttempt(attempt.number);
     }
 
-    private void scheduleTimeout(Attempt attempt, long effectiveTimeoutMicros) {
+    // Runs from the start of each attempt, so that it does not depend on the body, which may never arrive completely.
+    // The end of the body starts it anew, as an upstream can respond only then.
+    private void scheduleTimeout(Attempt attempt) {
+        if (attempt.timeoutTimer != null) {
+            attempt.timeoutTimer.cancel(false);
+        }
         if (!attempt.ended) {
             attempt.timeoutTimer = loop.schedule(
-                    () -> abandon(attempt, AttemptOutcome.TIMEOUT), effectiveTimeoutMicros, TimeUnit.MICROSECONDS);
+                    () -> timeoutTimerExpired(attempt), Math.max(0, timeLeftMicros(attempt)), TimeUnit.MICROSECONDS);
+        }
+    }
+
+    private void timeoutTimerExpired(Attempt attempt) {
+        if (timeLeftMicros(attempt) > 0) {
+            scheduleTimeout(attempt); // more of the body has arrived
+        } else {
+            boolean sending = attempt.call != null && attempt.call.isSending();
+            abandon(attempt, AttemptOutcome.TIMEOUT, sending ? AttemptOutcome.CONNECT_FAILED : AttemptOutcome.NOT_SENT);
         }
     }
 
+    private long timeLeftMicros(Attempt attempt) {
+        OpenRequest openRequest = attempt.openRequest;
+        long nowMicros = clock.nowMicros();
+        long timeLeftMicros = timeLeftMicros(openRequest, nowMicros);
+        if (attempt.timeoutMicros == 0 || !openRequest.isBodyComplete()) {
+            return timeLeftMicros;
+        }
+        long startMicros = Math.max(attempt.sentAtMicros, openRequest.completeAtMicros);
+        return Math.min(timeLeftMicros, startMicros + attempt.timeoutMicros - nowMicros);
+    }
+
+    private static long timeLeftMicros(OpenRequest openRequest, long nowMicros) {
+        return openRequest.timeLeftMicros(nowMicros)
+                - RequestDispatcher.LAST_RESORT_MARGIN_MICROS
+                - POLICY_RESPONSE_MARGIN_MICROS;
+    }
+
     /** Cancels an attempt of the request; has no effect if the attempt does not exist or has ended. */
     void cancel(OpenRequest openRequest, int attemptNumber) {
         if (attemptNumber < openRequest.attempts.size()) {
-            abandon(openRequest.attempts.get(attemptNumber), AttemptOutcome.CANCELLED);
+            Attempt attempt = openRequest.attempts.get(attemptNumber);
+            abandon(attempt, AttemptOutcome.CANCELLED, AttemptOutcome.NOT_SENT);
         }
     }
 
@@ -109,16 +137,16 @@
     void cancelUnsent(OpenRequest openRequest) {
         for (Attempt attempt : openRequest.attempts) {
             if (!attempt.ended && attempt.call != null && attempt.call.isUnsent()) {
-                abandon(attempt, AttemptOutcome.CANCELLED);
+                abandon(attempt, AttemptOutcome.CANCELLED, AttemptOutcome.NOT_SENT);
             }
         }
     }
 
     // An upstream can't have run a request before its last byte was written.
-    private void abandon(Attempt attempt, AttemptOutcome outcomeIfWritten) {
+    private void abandon(Attempt attempt, AttemptOutcome outcomeIfWritten, AttemptOutcome outcomeIfNotWritten) {
         if (!attempt.ended) {
             boolean written = attempt.call != null && attempt.call.abandon();
-            end(attempt, written ? outcomeIfWritten : AttemptOutcome.NOT_SENT, null, null);
+            end(attempt, written ? outcomeIfWritten : outcomeIfNotWritten, null, null);
         }
     }
 
--- a/balancer/src/main/java/loadbalancer/dispatch/OpenRequest.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/OpenRequest.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Future;
+import loadbalancer.transport.BodyStream;
 import loadbalancer.transport.InboundRequest;
 
 /**
@@ -15,17 +16,44 @@
     final ClientResponder responder;
     final int maxAttempts;
     final List<Attempt> attempts = new ArrayList<>(2);
-    long deadlineMicros;
-    long completeAtMicros; // when its last byte arrived; 0 until then
+    private long deadlineMicros;
+    long completeAtMicros; // when its last byte was read; 0 until then
     int attemptsInFlight;
     boolean closed; // it has its final response, or its client has disconnected
     Future<?> lastResortTimer;
 
-    OpenRequest(String id, InboundRequest request, ClientResponder responder, long deadlineMicros, int maxAttempts) {
+    OpenRequest(String id, InboundRequest request, ClientResponder responder, long nowMicros, int maxAttempts) {
         this.id = id;
         this.request = request;
         this.responder = responder;
-        this.deadlineMicros = deadlineMicros;
         this.maxAttempts = maxAttempts;
+        updateDeadline(nowMicros);
+    }
+
+    /** Returns the time until the client's deadline; with a body that is still arriving, it does not always fall. */
+    long timeLeftMicros(long nowMicros) {
+        if (request.streamedBody() != null && completeAtMicros == 0) {
+            updateDeadline(nowMicros);
+        }
+        return deadlineMicros - nowMicros;
+    }
+
+    // The deadline counts from the last byte of the request. While the body is arriving, it counts from the earliest
+    // time at which the client can have sent that byte: the rest may wait in the socket, whose reading may be paused.
+    private void updateDeadline(long nowMicros) {
+        BodyStream body = request.streamedBody();
+        long sinceLastByteMicros = body == null ? 0 : (System.nanoTime() - body.earliestLastByteNanos()) / 1000;
+        deadlineMicros = nowMicros - sinceLastByteMicros + request.timeLeftMicros();
+    }
+
+    /** Called when the last byte of the request has been read. */
+    void bodyCompleted(long nowMicros) {
+        updateDeadline(nowMicros);
+        completeAtMicros = nowMicros;
+    }
+
+    /** Returns whether the last byte of the request has been read. */
+    boolean isBodyComplete() {
+        return completeAtMicros > 0;
     }
 }
--- a/balancer/src/main/java/loadbalancer/dispatch/RequestDispatcher.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/RequestDispatcher.java
@@ -72,37 +72,41 @@
                 id,
                 request,
                 responder,
-                nowMicros() + request.timeLeftMicros(),
+                nowMicros(),
                 siteSettings.policySettings().limits().maxAttempts());
         openRequests.add(openRequest);
         if (request.streamedBody() == null) {
-            startDeadline(openRequest);
+            openRequest.bodyCompleted(nowMicros());
         } else {
-            request.streamedBody().whenComplete(() -> startDeadline(openRequest));
+            request.streamedBody().whenComplete(() -> openRequest.bodyCompleted(nowMicros()));
         }
+        scheduleLastResort(openRequest);
         events.submit(nowMicros -> policy.request(
                 nowMicros,
                 id,
                 request.requestClass(),
                 request.tenant(),
                 request.key(),
-                Math.max(0, openRequest.deadlineMicros - nowMicros),
+                Math.max(0, openRequest.timeLeftMicros(nowMicros)),
                 request.workEstimateMicros(),
                 request.clientRetry(),
                 actions));
         return () -> clientGone(openRequest);
     }
 
-    // The deadline of a client is counted from the last byte of its request.
-    private void startDeadline(OpenRequest openRequest) {
-        if (!openRequest.closed) {
-            long timeLeftMicros = openRequest.request.timeLeftMicros();
-            openRequest.completeAtMicros = nowMicros();
-            openRequest.deadlineMicros = openRequest.completeAtMicros + timeLeftMicros;
-            openRequest.lastResortTimer = loop.schedule(
-                    () -> respondAsLastResort(openRequest),
-                    Math.max(0, timeLeftMicros - LAST_RESORT_MARGIN_MICROS),
-                    TimeUnit.MICROSECONDS);
+    // Runs from the start of each request, so that it does not depend on any further event. If more of the body has
+    // arrived when it expires, the deadline is later by then.
+    private void scheduleLastResort(OpenRequest openRequest) {
+        long delayMicros = openRequest.timeLeftMicros(nowMicros()) - LAST_RESORT_MARGIN_MICROS;
+        openRequest.lastResortTimer = loop.schedule(
+                () -> lastResortTimerExpired(openRequest), Math.max(0, delayMicros), TimeUnit.MICROSECONDS);
+    }
+
+    private void lastResortTimerExpired(OpenRequest openRequest) {
+        if (!openRequest.closed && openRequest.timeLeftMicros(nowMicros()) > LAST_RESORT_MARGIN_MICROS) {
+            scheduleLastResort(openRequest);
+        } else {
+            respondAsLastResort(openRequest);
         }
     }
 
--- a/balancer/src/main/java/loadbalancer/handover/HandoverLink.java
+++ b/balancer/src/main/java/loadbalancer/handover/HandoverLink.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioDomainSocketChannel;
@@ -38,6 +39,7 @@
     /** The most connections to other processes: a predecessor, a successor, and those of an upgrade that has failed. */
     private static final int MAX_PEERS = 4;
 
+    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
     private static final long STATE_TIMEOUT_MILLIS = 1_000;
 
     /** Supplies the state and receives the link's events; called on the event loop's thread. */
@@ -84,6 +86,7 @@
             return new Bootstrap()
                     .group(loop)
                     .channel(NioDomainSocketChannel.class)
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                     .handler(peerInitializer())
                     .connect(UnixDomainSocketAddress.of(directory.resolve(SOCKET_NAME)))
                     .await()
@@ -160,12 +163,17 @@
         log.accept("cannot accept a successor: " + cause.getMessage());
     }
 
-    /** Sends a message to the other process; drops it if there is none. */
+    /**
+     * Sends a message to the other process; drops it if there is none. A report of descriptors is also dropped while
+     * the other process does not read, as the next report replaces it.
+     */
     public void sendToPeer(HandoverMessage message) {
         try {
             String line = HandoverCodec.encode(message) + "\n";
             for (Channel peer : peers) {
-                peer.writeAndFlush(Unpooled.copiedBuffer(line, StandardCharsets.UTF_8));
+                if (peer.isWritable() || !(message instanceof HandoverMessage.DescriptorsInUse)) {
+                    peer.writeAndFlush(Unpooled.copiedBuffer(line, StandardCharsets.UTF_8));
+                }
             }
         } catch (IOException e) {
             log.accept("cannot send a handover message to the other process: " + e.getMessage());
--- a/balancer/src/main/java/loadbalancer/http/ClientConnection.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientConnection.java
@@ -146,7 +146,7 @@
                 && channel.config().isAutoRead()
                 && timeouts.isReceiveOverdue(nowNanos, 0)) {
             onInvalidRequest(HttpResponseStatus.REQUEST_TIMEOUT, "too slow");
-        } else if (download != null && timeouts.isStalledTooLong(download.stalledNanos(nowNanos))) {
+        } else if (download != null && isDownloadTooSlow(nowNanos)) {
             close();
         } else if (timeouts.isIdleTooLong(idleNanos(nowNanos), hasRequested)) {
             close();
@@ -156,6 +156,11 @@
         }
     }
 
+    private boolean isDownloadTooSlow(long nowNanos) {
+        return timeouts.isStalledTooLong(download.stalledNanos(nowNanos))
+                || timeouts.isResponseOverdue(download.elapsedNanos(nowNanos), download.receivedBytes());
+    }
+
     /** Called when the channel has closed: releases the resources of the connection. */
     void onClosed() {
         reader.close();
@@ -191,6 +196,16 @@
             timeouts.startReceiving();
         }
         timeouts.onRead(bytes);
+        if (upload != null) {
+            upload.readStarted(earliestArrivalNanos());
+        }
+    }
+
+    /** Called when the bytes of a read that has left the socket empty have been decoded. */
+    void onDrained() {
+        if (upload != null) {
+            upload.drained();
+        }
     }
 
     @Override
@@ -205,6 +220,7 @@
     public void onStreamedRequest(HttpRequest head, int headBytes, BodyStream body) {
         hasRequested = true;
         upload = body;
+        upload.readStarted(earliestArrivalNanos());
         uploadAnswered = false;
         pipelinedRequests.addStreamed(
                 new PipelinedRequests.Entry(head, headBytes, NO_BODY, body, earliestArrivalNanos()));
--- a/balancer/src/main/java/loadbalancer/http/ClientTimeouts.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientTimeouts.java
@@ -15,6 +15,9 @@
     private static final long LINGER_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000); // after the last response
     private static final long WRITE_STALL_NANOS = TimeUnit.MILLISECONDS.toNanos(20_000);
 
+    /** A streamed response moves at this rate on average, after the first {@link #WRITE_STALL_NANOS}. */
+    private static final long MIN_RESPONSE_BYTES_PER_SECOND = 16_000;
+
     private long phaseStartNanos = System.nanoTime(); // a phase is receiving a request, idling or lingering
     private long lastReadNanos;
     private long receivedBytes; // of the request that is arriving
@@ -63,6 +66,17 @@
         return stalledNanos > WRITE_STALL_NANOS;
     }
 
+    /**
+     * Returns whether a streamed response takes too long as a whole, as its upstream or its client is too slow.
+     *
+     * @param elapsedNanos since it began to be streamed
+     * @param receivedBytes of the response; a client that does not read keeps them from being received
+     */
+    boolean isResponseOverdue(long elapsedNanos, long receivedBytes) {
+        long allowedNanos = TimeUnit.SECONDS.toNanos(receivedBytes) / MIN_RESPONSE_BYTES_PER_SECOND;
+        return elapsedNanos > WRITE_STALL_NANOS + allowedNanos;
+    }
+
     /** Records how many bytes wait to be written, and returns whether the number has not changed for too long. */
     boolean isWriteStalled(long nowNanos, long waitingBytes) {
         if (waitingBytes == 0 || waitingBytes != stalledBytes) {
--- a/balancer/src/main/java/loadbalancer/http/ReadActivityHandler.java
+++ b/balancer/src/main/java/loadbalancer/http/ReadActivityHandler.java
@@ -17,7 +17,12 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object part) {
-        connection.onRead(part instanceof ByteBuf bytes ? bytes.readableBytes() : 0);
+        ByteBuf bytes = (ByteBuf) part;
+        boolean drained = bytes.isWritable(); // the socket had fewer bytes than the buffer has room for
+        connection.onRead(bytes.readableBytes());
         context.fireChannelRead(part);
+        if (drained) {
+            connection.onDrained();
+        }
     }
 }
--- a/balancer/src/main/java/loadbalancer/process/GracefulShutdown.java
+++ b/balancer/src/main/java/loadbalancer/process/GracefulShutdown.java
@@ -33,6 +33,9 @@
     /** Time for the last responses to be sent, and the interval between checks for open requests. */
     private static final long FLUSH_MILLIS = 20;
 
+    /** After this time the process stops in any case: the longest deadline that a client may set, and 5 s. */
+    private static final long MAX_STOP_MILLIS = 605_000;
+
     private final EventLoop loop;
     private final ClientListener clients;
     private final BalancerPools pools;
@@ -69,6 +72,7 @@
     void begin() {
         loop.execute(this::linger);
         loop.schedule(this::drain, LINGER_MILLIS, TimeUnit.MILLISECONDS);
+        loop.schedule(this::finish, MAX_STOP_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void linger() {
@@ -107,9 +111,15 @@
             stopWhenDrained();
             return;
         }
-        onStopped.run();
-        advance(State.STOPPED);
-        stopped.countDown();
+        finish();
+    }
+
+    private void finish() {
+        if (state != State.STOPPED) {
+            onStopped.run();
+            advance(State.STOPPED);
+            stopped.countDown();
+        }
     }
 
     private boolean beforeDrainTimeout() {
--- a/balancer/src/main/java/loadbalancer/transport/BodyStream.java
+++ b/balancer/src/main/java/loadbalancer/transport/BodyStream.java
@@ -54,7 +54,9 @@
     private boolean paused;
     private long pausedAtNanos;
     private long pausedNanos;
-    private long progressAtNanos = System.nanoTime();
+    private final long startedAtNanos = System.nanoTime();
+    private long progressAtNanos = startedAtNanos;
+    private final LastByteEstimator lastByte;
 
     /** Creates a stream without a memory budget; {@code lengthBytes} is -1 if the length is not declared. */
     public BodyStream(Channel source, long lengthBytes) {
@@ -66,6 +68,7 @@
         this.source = source;
         this.lengthBytes = lengthBytes;
         this.memory = memory;
+        lastByte = new LastByteEstimator(lengthBytes, startedAtNanos);
     }
 
     /** Returns the connection that receives the body. */
@@ -93,11 +96,26 @@
         return paused || closed || complete ? 0 : nowNanos - progressAtNanos;
     }
 
+    /** Returns the time since the stream was created. */
+    public long elapsedNanos(long nowNanos) {
+        return nowNanos - startedAtNanos;
+    }
+
+    /** Returns how many bytes of the body have arrived. */
+    public long receivedBytes() {
+        return lastByte.receivedBytes();
+    }
+
     /** Returns the total time for which reading from the source was paused, without a pause that still lasts. */
     public long pausedNanos() {
         return pausedNanos;
     }
 
+    /** Returns the earliest time at which the source can have sent the last byte, from System.nanoTime(). */
+    public long earliestLastByteNanos() {
+        return lastByte.earliestNanos(System.nanoTime());
+    }
+
     /** Runs {@code listener} when the last byte has arrived, or immediately if it already has. */
     public void whenComplete(Runnable listener) {
         if (complete) {
@@ -109,9 +127,22 @@
 
     // ---- called by the source
 
+    /** Called when a read begins whose data has arrived at {@code arrivedNanos} at the earliest. */
+    public void readStarted(long arrivedNanos) {
+        lastByte.readStarted(arrivedNanos);
+    }
+
+    /** Called when a read has left the socket of the source empty. */
+    public void drained() {
+        if (!complete && !paused) {
+            lastByte.drained();
+        }
+    }
+
     /** Forwards or queues a part of the body, and releases it in the end; a small part with the next {@link #flush}. */
     public void write(ByteBuf bytes) {
         progressAtNanos = System.nanoTime();
+        lastByte.received(bytes.readableBytes(), progressAtNanos);
         if (closed) {
             bytes.release();
         } else if (bytes.readableBytes() < MIN_PIECE_BYTES) {
@@ -258,8 +289,11 @@
 
     private void pause() {
         if (!closed) {
-            pausedAtNanos = paused ? pausedAtNanos : System.nanoTime();
-            paused = true;
+            if (!paused) {
+                paused = true;
+                pausedAtNanos = System.nanoTime();
+                lastByte.paused(pausedAtNanos);
+            }
             source.config().setAutoRead(false); // on each call, as other code may have turned it on
         }
     }
--- a/balancer/src/main/java/loadbalancer/upstream/UpstreamCall.java
+++ b/balancer/src/main/java/loadbalancer/upstream/UpstreamCall.java
@@ -86,6 +86,11 @@
         return connection != null && !connection.hasSentRequest();
     }
 
+    /** Returns whether a part of the request may have been written, but not its last byte. */
+    public boolean isSending() {
+        return connection != null && connection.hasStartedRequest() && !connection.hasSentRequest();
+    }
+
     /**
      * Ends the call without notifying the listener. Its connection is closed if any of the request has been written.
      *
--- a/balancer/src/test/java/loadbalancer/process/BodyStreamTest.java
+++ b/balancer/src/test/java/loadbalancer/process/BodyStreamTest.java
@@ -23,13 +23,13 @@
 class BodyStreamTest extends BalancerFixture {
     private static final int LARGE_BODY_BYTES = 3_000_000;
 
-    private static byte[] randomBytes(int bytes) {
+    static byte[] randomBytes(int bytes) {
         byte[] random = new byte[bytes];
         new Random(7).nextBytes(random);
         return random;
     }
 
-    private static String postHead(String framing) {
+    static String postHead(String framing) {
         return "POST /api/k1 HTTP/1.1\r\nHost: backend.local\r\nReq-Id: r1\r\nReq-Kind: book\r\n"
                 + "Req-Deadline-Ms: 20000\r\n" + framing + "\r\n\r\n";
     }
--- a/balancer/src/test/java/loadbalancer/process/HeapLimitTest.java
+++ b/balancer/src/test/java/loadbalancer/process/HeapLimitTest.java
@@ -22,6 +22,9 @@
  */
 @Timeout(120)
 class HeapLimitTest {
+    /** Each needs a turn of the event loop at least, in which it reads a part of what the crowd has sent. */
+    private static final int READINESS_CHECKS = 30;
+
     private static final String SHORT_LINES = "X: 1\r\n".repeat(90);
 
     /** What a client of the crowd sends, by its number. */
@@ -59,6 +62,16 @@
                 return request("POST", "book", client, chunked) + "1\r\nx\r\n0\r\n" + SHORT_LINES;
             }
         },
+        /** Large bodies in chunks of one byte, which wait behind a request that is not answered. */
+        SMALL_CHUNKS {
+            @Override
+            String bytes(int client) {
+                String chunked = "Transfer-Encoding: chunked\r\n";
+                return request("GET", "read", client, "")
+                        + request("POST", "book", client + 10_000, chunked)
+                        + "1\r\nx\r\n".repeat(90_000);
+            }
+        },
         /** Requests whose responses are large and begin with many short header lines, and do not end. */
         INCOMPLETE_RESPONSES {
             @Override
@@ -86,24 +99,26 @@
 
     @ParameterizedTest
     @CsvSource({
-        "INCOMPLETE_HEADS, 1024",
-        "OVERLONG_HEADS, 1024",
-        "PIPELINED_HEADS, 1024",
-        "INCOMPLETE_TRAILERS, 1024",
-        "INCOMPLETE_RESPONSES, 1024",
-        "OVERLONG_HEADS, 512",
-        "INCOMPLETE_RESPONSES, 512",
+        "INCOMPLETE_HEADS, 1024, 1024",
+        "OVERLONG_HEADS, 1024, 1024",
+        "PIPELINED_HEADS, 1024, 1024",
+        "INCOMPLETE_TRAILERS, 1024, 1024",
+        "SMALL_CHUNKS, 1024, 60",
+        "INCOMPLETE_RESPONSES, 1024, 1024",
+        "OVERLONG_HEADS, 512, 512",
+        "INCOMPLETE_RESPONSES, 512, 512",
     })
-    void aFloodDoesNotEndTheProcess(Flood flood, int maxDescriptors) throws IOException, InterruptedException {
+    void aFloodDoesNotEndTheProcess(Flood flood, int maxDescriptors, int clients)
+            throws IOException, InterruptedException {
         try (ServerSocket upstream = new ServerSocket(0, 1_000, InetAddress.getLoopbackAddress());
                 FakeUpstream discovery = new FakeUpstream();
                 ChildBalancer balancer = new ChildBalancer(discovery, "127.0.0.1:" + upstream.getLocalPort())) {
             startHangingUpstream(upstream);
             balancer.start(maxDescriptors, "ask", ChildBalancer.runLineOptions());
-            for (int i = 0; i < maxDescriptors; i++) {
+            for (int i = 0; i < clients; i++) {
                 flood(balancer, flood.bytes(i));
             }
-            for (int i = 0; i < 3; i++) {
+            for (int i = 0; i < READINESS_CHECKS; i++) {
                 try (BalancerFixture.Client client = new BalancerFixture.Client(balancer.listenAddress())) {
                     String response = client.send("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
                             .readResponse();
--- a/discovery/src/main/java/loadbalancer/discovery/DiscoveryClient.java
+++ b/discovery/src/main/java/loadbalancer/discovery/DiscoveryClient.java
@@ -47,6 +47,9 @@
     /** Delay before the next watch, where lists are pushed and a watch has ended after a response. */
     private static final long REOPEN_DELAY_MILLIS = 50;
 
+    /** A list arrives at this rate on average, after the first response timeout. */
+    private static final long MIN_LIST_BYTES_PER_SECOND = 4_000;
+
     private static final int STATUS_OK = 200;
 
     private final EventLoop loop;
@@ -162,6 +165,7 @@
         private Channel channel;
         private Future<?> timeout;
         private long lastReadMicros;
+        private long listStartMicros; // when the list that is arriving began
         private boolean answered; // whether a list or a heartbeat has been received
         private boolean ended;
 
@@ -284,11 +288,25 @@
             if (firstAnswer) {
                 received(new EndpointList(version, false, List.of()));
             } else {
-                reader.read(bytes, list -> {
-                    if (!ended) {
-                        received(list);
-                    }
-                });
+                readList(bytes);
+            }
+        }
+
+        // A list of which only a few bytes come at a time must not be waited for without an end.
+        private void readList(byte[] bytes) {
+            if (!reader.isWithinList()) {
+                listStartMicros = clockMicros.getAsLong();
+            }
+            reader.read(bytes, list -> {
+                if (!ended) {
+                    received(list);
+                }
+            });
+            long allowedMicros = staleness.responseTimeoutMicros()
+                    + TimeUnit.SECONDS.toMicros(reader.listBytes()) / MIN_LIST_BYTES_PER_SECOND;
+            if (!ended && reader.isWithinList() && clockMicros.getAsLong() - listStartMicros > allowedMicros) {
+                log.accept("discovery sent a list that can't be read: it arrives too slowly");
+                end();
             }
         }
 
--- a/discovery/src/main/java/loadbalancer/discovery/ListReader.java
+++ b/discovery/src/main/java/loadbalancer/discovery/ListReader.java
@@ -100,6 +100,11 @@
         return found[0];
     }
 
+    /** Returns how many bytes of the list that is being read have arrived. */
+    long listBytes() {
+        return bytesOfList;
+    }
+
     /** Whether a list has been read in part. */
     boolean isWithinList() {
         return !openContainers.isEmpty();
