Allow 60 s without a byte taken by a client, and split the client's connection

A socket is reported as writable only when a third of its send buffer is free, 1.4 MB of 4, which takes such a client over 20 s, the limit for taking nothing.

Change: 60 s for the client; 20 s stay for an upstream that sends nothing. A test for the bound on ids of a list.

--- a/balancer/src/main/java/loadbalancer/http/ClientConnection.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientConnection.java
@@ -9,12 +9,10 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.DuplexChannel;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
 import loadbalancer.transport.BodyStream;
 import loadbalancer.transport.ConnectionMemory;
@@ -29,23 +27,10 @@
  * on the event loop's thread only.
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter implements RequestReader.Listener {
-    /** The progress of serving requests. */
-    private enum ResponseState {
-        /** No request is being served. */
-        IDLE,
-        /** A task on the event loop will serve the next request, or write the rejection. */
-        SCHEDULED,
-        /** A request is being served. */
-        SERVING,
-        /** The last response has been written; no further request is served. */
-        ENDING
-    }
-
     static final String STOPPING_REASON = "stopping: trying again is harmless";
     private static final byte[] NO_BODY = new byte[0];
 
     private final ClientRequestHandler requestHandler;
-    private final MemoryBudget bodyMemory;
     private final ConnectionMemory headMemory;
     private final ConnectionMemory responseMemory; // of responses that have not been written to the socket
     private final Channel channel;
@@ -54,14 +39,11 @@
     private final ResponseWriter writer;
     private final ClientTimeouts timeouts = new ClientTimeouts();
     private final PipelinedRequests pipelinedRequests;
+    private final ServedRequest servedRequest;
     private ResponseState state = ResponseState.IDLE;
     private RequestValidator.Problem rejection; // written after the responses to earlier requests, as the last one
     private boolean receiving; // a request has arrived in part
     private boolean hasRequested; // a complete or streamed request has arrived, or one was rejected
-    private BodyStream servedBody; // the body of the request that is being served, if it is streamed
-    private int servedBodyBytes; // heap that the body of the request takes that is being served
-    private int servedHeadBytes; // heap that its head takes
-    private Runnable disconnectListener; // set while a response is pending
     private BodyStream upload; // the body of the request that is arriving, if it is streamed
     private boolean uploadAnswered; // the response to the request of the upload has begun
     private BodyStream download; // the body of a response that is being streamed
@@ -69,7 +51,7 @@
     /** Creates a connection and adds its handlers to the pipeline of {@code channel}. */
     ClientConnection(ClientRequestHandler requestHandler, MemoryBudgets memory, Channel channel) {
         this.requestHandler = requestHandler;
-        this.bodyMemory = memory.requestBodies();
+        MemoryBudget bodyMemory = memory.requestBodies();
         this.headMemory = new ConnectionMemory(memory.requestHeads());
         this.responseMemory = new ConnectionMemory(memory.responses());
         this.channel = channel;
@@ -78,6 +60,7 @@
         this.reader = new RequestReader(this, bodyMemory, arrivingHead, headMemory);
         this.writer = new ResponseWriter(channel, responseMemory);
         this.pipelinedRequests = new PipelinedRequests(bodyMemory, headMemory);
+        this.servedRequest = new ServedRequest(bodyMemory, headMemory);
         channel.pipeline().addLast(new ReadActivityHandler(this), decoder, new HttpResponseEncoder(), reader, this);
     }
 
@@ -146,7 +129,7 @@
                 && channel.config().isAutoRead()
                 && timeouts.isReceiveOverdue(nowNanos, 0)) {
             onInvalidRequest(HttpResponseStatus.REQUEST_TIMEOUT, "too slow");
-        } else if (download != null && isDownloadTooSlow(nowNanos)) {
+        } else if (download != null && timeouts.isTooSlow(download, nowNanos)) {
             close();
         } else if (timeouts.isIdleTooLong(idleNanos(nowNanos), hasRequested)) {
             close();
@@ -156,30 +139,17 @@
         }
     }
 
-    private boolean isDownloadTooSlow(long nowNanos) {
-        return timeouts.isStalledTooLong(download.stalledNanos(nowNanos))
-                || timeouts.isResponseOverdue(download.elapsedNanos(nowNanos), download.receivedBytes());
-    }
-
     /** Called when the channel has closed: releases the resources of the connection. */
     void onClosed() {
         reader.close();
-        releaseServedMemory();
         pipelinedRequests.clear();
-        headMemory.releaseAll();
-        responseMemory.releaseAll();
-        if (servedBody != null && !servedBody.isConsumed()) {
-            servedBody.discard();
-        }
         if (download != null) {
             download.discard();
             download.source().close();
         }
-        Runnable listener = disconnectListener;
-        disconnectListener = null;
-        if (listener != null) {
-            listener.run();
-        }
+        servedRequest.abandon();
+        headMemory.releaseAll();
+        responseMemory.releaseAll();
     }
 
     @Override
@@ -211,8 +181,7 @@
     @Override
     public void onHead(HttpRequest head) {
         if (HttpUtil.is100ContinueExpected(head) && state == ResponseState.IDLE) {
-            channel.writeAndFlush(new DefaultFullHttpResponse(
-                    HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+            writer.writeContinue();
         }
     }
 
@@ -276,15 +245,11 @@
     private void rejectUpload() {
         if (uploadAnswered) {
             if (state == ResponseState.IDLE) {
-                endAfter(channel.writeAndFlush(Unpooled.EMPTY_BUFFER));
+                endAfter(channel.writeAndFlush(Unpooled.EMPTY_BUFFER)); // after what has not been written yet
             }
-        } else if (upload == servedBody) {
-            Runnable abandon = disconnectListener;
-            disconnectListener = null;
+        } else if (servedRequest.hasBody(upload)) {
+            servedRequest.abandon();
             writeText(rejection.status(), rejection.reason(), false);
-            if (abandon != null) {
-                abandon.run();
-            }
         } else {
             pipelinedRequests.removeStreamed(upload);
             rejectIfIdle();
@@ -294,14 +259,15 @@
     /** Rejects the request that is being served, and discards the requests behind it. */
     void reject(HttpResponseStatus status, String reason) {
         pipelinedRequests.clear();
-        if (rejection == null) {
-            startRejecting(status, reason);
-        }
+        startRejecting(status, reason);
         writeText(status, reason, false);
     }
 
     // Further data is discarded without decoding, as there may be hundreds of requests behind an invalid one.
     private void startRejecting(HttpResponseStatus status, String reason) {
+        if (rejection != null) {
+            return;
+        }
         hasRequested = true;
         reader.close();
         rejection = new RequestValidator.Problem(status, reason);
@@ -347,9 +313,7 @@
     }
 
     private void serve(PipelinedRequests.Entry request) {
-        servedBodyBytes = request.body().length;
-        servedHeadBytes = request.headBytes();
-        servedBody = request.streamedBody();
+        servedRequest.begin(request);
         long waitedMicros = (System.nanoTime() - request.earliestArrivalNanos()) / 1000;
         requestHandler.handle(this, request.head(), request.body(), request.streamedBody(), waitedMicros);
     }
@@ -358,7 +322,7 @@
 
     /** Sets a listener that runs if the client disconnects before its pending response. */
     void setDisconnectListener(Runnable listener) {
-        disconnectListener = listener;
+        servedRequest.setDisconnectListener(listener);
     }
 
     /** Writes a response with one line of text to the request that is being served. */
@@ -381,14 +345,14 @@
             String extraName,
             String extraValue,
             boolean keepAlive) {
-        releaseRequest();
+        endRequest();
         boolean keepOpen = keepAlive && !requestHandler.isStopping();
         onResponseWritten(writer.write(status, body, contentType, extraName, extraValue, keepOpen), keepOpen);
     }
 
     /** Forwards a streamed response as it arrives; {@code chunked}: the client supports chunked encoding. */
     void stream(UpstreamResponse response, boolean keepAlive, boolean chunked) {
-        releaseRequest();
+        endRequest();
         BodyStream body = response.streamedBody();
         boolean delimited = body.lengthBytes() >= 0 || chunked;
         boolean keepOpen = keepAlive && delimited && !requestHandler.isStopping();
@@ -401,22 +365,9 @@
         download = null;
     }
 
-    // The response begins, so the request is no longer needed: its memory is released, the rest of its body discarded.
-    private void releaseRequest() {
-        disconnectListener = null;
-        releaseServedMemory();
-        if (servedBody != null) {
-            uploadAnswered |= servedBody == upload;
-            servedBody.discard();
-            servedBody = null;
-        }
-    }
-
-    private void releaseServedMemory() {
-        bodyMemory.release(servedBodyBytes);
-        servedBodyBytes = 0;
-        headMemory.release(servedHeadBytes);
-        servedHeadBytes = 0;
+    private void endRequest() {
+        uploadAnswered |= servedRequest.hasBody(upload);
+        servedRequest.end();
     }
 
     /** Called when the last byte of a response has been passed to the channel. */
--- a/balancer/src/main/java/loadbalancer/http/ClientTimeouts.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientTimeouts.java
@@ -1,6 +1,7 @@
 package loadbalancer.http;
 
 import java.util.concurrent.TimeUnit;
+import loadbalancer.transport.BodyStream;
 
 /**
  * The timeouts of one client connection. They protect against clients that send nothing or only a byte at times, and
@@ -13,7 +14,12 @@
     private static final long FIRST_REQUEST_NANOS = TimeUnit.MILLISECONDS.toNanos(2_200);
     private static final long IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(5_000); // between two requests
     private static final long LINGER_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000); // after the last response
-    private static final long WRITE_STALL_NANOS = TimeUnit.MILLISECONDS.toNanos(20_000);
+    private static final long RESPONSE_STALL_NANOS = TimeUnit.MILLISECONDS.toNanos(20_000); // by the upstream
+    /**
+     * By the client. A socket is reported as writable only when a third of its send buffer is free, and that may take
+     * over 20 s where a client reads 64 kB a second.
+     */
+    private static final long WRITE_STALL_NANOS = TimeUnit.MILLISECONDS.toNanos(60_000);
 
     /** A streamed response moves at this rate on average, after the first {@link #WRITE_STALL_NANOS}. */
     private static final long MIN_RESPONSE_BYTES_PER_SECOND = 16_000;
@@ -61,20 +67,14 @@
         return idleNanos > (hasRequested ? IDLE_NANOS : FIRST_REQUEST_NANOS);
     }
 
-    /** Returns whether a streamed response has made no progress for too long. */
-    boolean isStalledTooLong(long stalledNanos) {
-        return stalledNanos > WRITE_STALL_NANOS;
-    }
-
     /**
-     * Returns whether a streamed response takes too long as a whole, as its upstream or its client is too slow.
-     *
-     * @param elapsedNanos since it began to be streamed
-     * @param receivedBytes of the response; a client that does not read keeps them from being received
+     * Returns whether a streamed response has made no progress for too long, or takes too long as a whole. A client
+     * that does not read keeps its upstream from being read, so this applies to both.
      */
-    boolean isResponseOverdue(long elapsedNanos, long receivedBytes) {
-        long allowedNanos = TimeUnit.SECONDS.toNanos(receivedBytes) / MIN_RESPONSE_BYTES_PER_SECOND;
-        return elapsedNanos > WRITE_STALL_NANOS + allowedNanos;
+    boolean isTooSlow(BodyStream response, long nowNanos) {
+        long allowedNanos = TimeUnit.SECONDS.toNanos(response.receivedBytes()) / MIN_RESPONSE_BYTES_PER_SECOND;
+        return response.stalledNanos(nowNanos) > RESPONSE_STALL_NANOS
+                || response.elapsedNanos(nowNanos) > WRITE_STALL_NANOS + allowedNanos;
     }
 
     /** Records how many bytes wait to be written, and returns whether the number has not changed for too long. */
--- a/balancer/src/main/java/loadbalancer/http/ResponseWriter.java
+++ b/balancer/src/main/java/loadbalancer/http/ResponseWriter.java
@@ -1,6 +1,7 @@
 package loadbalancer.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -54,6 +55,12 @@
         return channel.writeAndFlush(response).addListener(written -> memory.release(heldBytes));
     }
 
+    /** Asks the client to send the body of its request. */
+    void writeContinue() {
+        channel.writeAndFlush(
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+    }
+
     /** Writes the head of a streamed response without flushing it. */
     void writeHead(UpstreamResponse upstreamResponse, boolean chunked, boolean keepAlive) {
         DefaultHttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
--- a/discovery/src/test/java/loadbalancer/discovery/ListReaderTest.java
+++ b/discovery/src/test/java/loadbalancer/discovery/ListReaderTest.java
@@ -102,6 +102,16 @@
         assertTrue(e.getMessage().startsWith("over "), e.getMessage());
     }
 
+    /** Ids are kept for each endpoint: long ones would take more of the heap than the bound on endpoints allows. */
+    @Test
+    void aListWithALongIdIsAFormatError() {
+        String list = Lists.list(1, true, 0, 5, "in_service");
+        assertEquals(
+                5, Lists.read(new EndpointSubset(9, 0), list, 1_000).entries().size());
+        String longId = list.replace("\"uid\":\"s-3\"", "\"uid\":\"" + "s".repeat(257) + "\"");
+        assertThrows(DiscoveryFormatException.class, () -> Lists.read(new EndpointSubset(9, 0), longId, 1_000));
+    }
+
     /** Guards against a size limit for the whole list: lists of over 4 MB were once rejected as too long. */
     @Test
     void aListOfOver4MegabytesIsRead() {
