Tell a client that reads slowly from one that reads nothing by what was written

Answers are passed on in pieces of one size, so the same number waits after each refill: a client that reads on counts as stalled.

Change: the time counts from the last part that the socket took, or from when nothing waited. ResponseWriter says whether something waits.

--- a/balancer/src/main/java/loadbalancer/http/ClientConnection.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientConnection.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseEncoder;
@@ -96,9 +95,7 @@
 
     /** Returns whether a response is pending, or has not been written to the socket completely. */
     boolean hasPendingResponse() {
-        ChannelOutboundBuffer outbound = channel.unsafe().outboundBuffer();
-        boolean serving = state == ResponseState.SCHEDULED || state == ResponseState.SERVING;
-        return serving || outbound != null && outbound.totalPendingWriteBytes() > 0;
+        return state == ResponseState.SCHEDULED || state == ResponseState.SERVING || writer.hasUnwrittenBytes();
     }
 
     // ---- timeouts and close
@@ -134,7 +131,7 @@
         } else if (timeouts.isIdleTooLong(idleNanos(nowNanos), hasRequested)) {
             close();
         }
-        if (timeouts.isWriteStalled(nowNanos, channel.bytesBeforeWritable())) {
+        if (timeouts.isWriteStalled(nowNanos, writer.hasUnwrittenBytes())) {
             close();
         }
     }
@@ -365,6 +362,11 @@
         download = null;
     }
 
+    /** Called when a part of a response has been written to the socket. */
+    void onWritten() {
+        timeouts.onWritten(System.nanoTime());
+    }
+
     private void endRequest() {
         uploadAnswered |= servedRequest.hasBody(upload);
         servedRequest.end();
@@ -372,6 +374,7 @@
 
     /** Called when the last byte of a response has been passed to the channel. */
     void onResponseWritten(ChannelFuture written, boolean keepOpen) {
+        written.addListener(done -> onWritten());
         if (upload == null) {
             timeouts.startPhase();
         }
--- a/balancer/src/main/java/loadbalancer/http/ClientTimeouts.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientTimeouts.java
@@ -27,8 +27,7 @@
     private long phaseStartNanos = System.nanoTime(); // a phase is receiving a request, idling or lingering
     private long lastReadNanos;
     private long receivedBytes; // of the request that is arriving
-    private long stalledBytes; // bytes that waited to be written at the last check
-    private long stalledSinceNanos = phaseStartNanos;
+    private long lastWriteNanos = phaseStartNanos; // or the last check at which nothing waited to be written
 
     void startPhase() {
         phaseStartNanos = System.nanoTime();
@@ -77,13 +76,16 @@
                 || response.elapsedNanos(nowNanos) > WRITE_STALL_NANOS + allowedNanos;
     }
 
-    /** Records how many bytes wait to be written, and returns whether the number has not changed for too long. */
-    boolean isWriteStalled(long nowNanos, long waitingBytes) {
-        if (waitingBytes == 0 || waitingBytes != stalledBytes) {
-            stalledBytes = waitingBytes;
-            stalledSinceNanos = nowNanos;
-            return false;
+    /** Called when a part of a response has been written to the socket. */
+    void onWritten(long nowNanos) {
+        lastWriteNanos = nowNanos;
+    }
+
+    /** Returns whether the client has taken nothing for too long; {@code waiting}: bytes wait to be written. */
+    boolean isWriteStalled(long nowNanos, boolean waiting) {
+        if (!waiting) {
+            lastWriteNanos = nowNanos;
         }
-        return nowNanos - stalledSinceNanos > WRITE_STALL_NANOS;
+        return nowNanos - lastWriteNanos > WRITE_STALL_NANOS;
     }
 }
--- a/balancer/src/main/java/loadbalancer/http/ResponseBodyWriter.java
+++ b/balancer/src/main/java/loadbalancer/http/ResponseBodyWriter.java
@@ -26,7 +26,7 @@
 
     @Override
     public void onData(ByteBuf bytes) {
-        channel.writeAndFlush(new DefaultHttpContent(bytes));
+        channel.writeAndFlush(new DefaultHttpContent(bytes)).addListener(done -> connection.onWritten());
     }
 
     @Override
--- a/balancer/src/main/java/loadbalancer/http/ResponseWriter.java
+++ b/balancer/src/main/java/loadbalancer/http/ResponseWriter.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -30,6 +31,12 @@
         this.memory = memory;
     }
 
+    /** Returns whether bytes of responses have not been written to the socket. */
+    boolean hasUnwrittenBytes() {
+        ChannelOutboundBuffer outbound = channel.unsafe().outboundBuffer();
+        return outbound != null && outbound.totalPendingWriteBytes() > 0;
+    }
+
     /**
      * Writes and flushes a response.
      *
