Allow a client that takes nothing 20 s again: the longer limit had a wrong reason

Cause: took the cut of slow readers for gaps of over 20 s between two moments in which a socket takes something. The cut came from how progress was told alone.

--- a/balancer/src/main/java/loadbalancer/http/ClientTimeouts.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientTimeouts.java
@@ -14,14 +14,8 @@
     private static final long FIRST_REQUEST_NANOS = TimeUnit.MILLISECONDS.toNanos(2_200);
     private static final long IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(5_000); // between two requests
     private static final long LINGER_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000); // after the last response
-    private static final long RESPONSE_STALL_NANOS = TimeUnit.MILLISECONDS.toNanos(20_000); // by the upstream
-    /**
-     * By the client. A socket is reported as writable only when a third of its send buffer is free, and that may take
-     * over 20 s where a client reads 64 kB a second.
-     */
-    private static final long WRITE_STALL_NANOS = TimeUnit.MILLISECONDS.toNanos(60_000);
-
-    /** A streamed response moves at this rate on average, after the first {@link #WRITE_STALL_NANOS}. */
+    private static final long STALL_NANOS = TimeUnit.MILLISECONDS.toNanos(20_000); // of a response, on either side
+    /** A streamed response moves at this rate on average, after the first {@link #STALL_NANOS}. */
     private static final long MIN_RESPONSE_BYTES_PER_SECOND = 16_000;
 
     private long phaseStartNanos = System.nanoTime(); // a phase is receiving a request, idling or lingering
@@ -72,8 +66,8 @@
      */
     boolean isTooSlow(BodyStream response, long nowNanos) {
         long allowedNanos = TimeUnit.SECONDS.toNanos(response.receivedBytes()) / MIN_RESPONSE_BYTES_PER_SECOND;
-        return response.stalledNanos(nowNanos) > RESPONSE_STALL_NANOS
-                || response.elapsedNanos(nowNanos) > WRITE_STALL_NANOS + allowedNanos;
+        return response.stalledNanos(nowNanos) > STALL_NANOS
+                || response.elapsedNanos(nowNanos) > STALL_NANOS + allowedNanos;
     }
 
     /** Called when a part of a response has been written to the socket. */
@@ -86,6 +80,6 @@
         if (!waiting) {
             lastWriteNanos = nowNanos;
         }
-        return nowNanos - lastWriteNanos > WRITE_STALL_NANOS;
+        return nowNanos - lastWriteNanos > STALL_NANOS;
     }
 }
