--- a/review/common-2/stand.py
+++ b/review/common-2/stand.py
@@ -401,6 +401,7 @@
         return self
 
     async def _accepted(self, sock):
+        # The socket is as the system gives it, without TCP_NODELAY, unlike those of asyncio's own servers.
         loop = asyncio.get_running_loop()
         reader = asyncio.StreamReader(limit=1 << 20)
         protocol = asyncio.StreamReaderProtocol(reader, self._serve)
@@ -470,6 +471,7 @@
     def __init__(self, sock):
         self.sock = sock
         self.rest = b""
+        self.closing = False  # the last answer said that the balancer closes the connection
 
     @classmethod
     async def connect(cls, port, receive_buffer=None, segment=None):
@@ -503,6 +505,7 @@
         for line in lines[1:]:
             name, value = line.split(":", 1)
             headers[name.strip().lower()] = value.strip()
+        self.closing = headers.get("connection", "").lower() == "close"
         return int(lines[0].split(" ")[1]), headers
 
     async def answer(self, pace=None):
