--- a/review/common-2/stand.py
+++ b/review/common-2/stand.py
@@ -130,6 +130,7 @@
         self.processes = []
         self.breaks = []
         self.ids = 0
+        self.environment = {}  # further variables of the processes that are started
         with open(os.path.join(ROOT, "deploy", "balancer.toml"), "rb") as file:
             self.run_line = tomllib.load(file)["run"]
         self.say(f"trouble: {'yes' if TROUBLE else 'no'}")
@@ -171,6 +172,7 @@
             ROUTER_NAME=name, ROUTER_CONFIG=config, ROUTER_DISCOVERY=f"127.0.0.1:{discovery.port}",
             ROUTER_LISTEN="127.0.0.1:0" if listener is None else "127.0.0.1:%d" % listener.getsockname()[1],
             ROUTER_ADMIN_ADDR=f"127.0.0.1:{admin_port}", TMPDIR=tmpdir)
+        environment.update(self.environment)
         if listener is not None:
             environment["ROUTER_INHERITED_FD"] = "0"
         with open(log_path, "wb") as log:
