Reject streamed bodies that are still arriving when the listeners close

Cause: a streamed request counted as arrived with its head, so rejectIncomplete left it out and its answer was due a deadline after a last byte that came long after SIGTERM.

Change: a request has arrived with its last byte, buffered or streamed. What has not arrived 0.6 s after SIGTERM gets 503 and its attempt is abandoned; it can't have run. Requests behind the one in service are answered before the connection closes, responses that a client may not have yet are waited for, and an upgrade rejects what is arriving as well.

GracefulShutdownTest, BalancerProcessTest, HandoverParticipantTest and BodyStreamTest: 39 passed.

--- a/balancer/src/main/java/loadbalancer/http/ClientConnection.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientConnection.java
@@ -93,9 +93,9 @@
         return arriving ? timeouts.sinceLastReadNanos(nowNanos) : 0;
     }
 
-    /** Returns whether a response is pending, or has not been written to the socket completely. */
+    /** Returns whether a response is pending, or the client may not have all of the last one yet. */
     boolean hasPendingResponse() {
-        return state == ResponseState.SCHEDULED || state == ResponseState.SERVING || writer.hasUnwrittenBytes();
+        return state != ResponseState.IDLE || writer.hasUnwrittenBytes();
     }
 
     // ---- timeouts and close
@@ -104,9 +104,18 @@
         channel.close();
     }
 
-    /** Rejects an incomplete request, which would be lost if its rest arrived just as the process exits. */
+    /**
+     * Rejects the request that is arriving, as the process is stopping. It has not run: its last byte has not arrived,
+     * so it has not been written to an upstream either, even if the body is streamed.
+     */
     void rejectIncomplete() {
-        if (receiving && state == ResponseState.IDLE && upload == null) {
+        if (!receiving || uploadAnswered && upload != null || state == ResponseState.ENDING) {
+            return;
+        }
+        if (servedRequest.hasBody(upload)) {
+            servedRequest.abandon();
+            writeText(HttpResponseStatus.SERVICE_UNAVAILABLE, STOPPING_REASON, false);
+        } else {
             onInvalidRequest(HttpResponseStatus.SERVICE_UNAVAILABLE, STOPPING_REASON);
         }
     }
@@ -343,7 +352,7 @@
             String extraValue,
             boolean keepAlive) {
         endRequest();
-        boolean keepOpen = keepAlive && !requestHandler.isStopping();
+        boolean keepOpen = mayKeepOpen(keepAlive);
         onResponseWritten(writer.write(status, body, contentType, extraName, extraValue, keepOpen), keepOpen);
     }
 
@@ -352,12 +361,18 @@
         endRequest();
         BodyStream body = response.streamedBody();
         boolean delimited = body.lengthBytes() >= 0 || chunked;
-        boolean keepOpen = keepAlive && delimited && !requestHandler.isStopping();
+        boolean keepOpen = mayKeepOpen(keepAlive && delimited);
         writer.writeHead(response, chunked, keepOpen);
         download = body;
         body.forwardTo(new ResponseBodyWriter(this, channel, delimited, keepOpen));
     }
 
+    // Requests behind this one are answered before a process that is stopping closes the connection.
+    private boolean mayKeepOpen(boolean keepAlive) {
+        boolean requestsBehind = rejection != null || !pipelinedRequests.isEmpty() || receiving && upload == null;
+        return keepAlive && (!requestHandler.isStopping() || requestsBehind);
+    }
+
     void onStreamEnded() {
         download = null;
     }
--- a/balancer/src/main/java/loadbalancer/http/ClientListener.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientListener.java
@@ -207,9 +207,7 @@
             listener.close();
         }
         connections.closeIdle();
-        if (!inherited) {
-            connections.rejectIncomplete();
-        }
+        connections.rejectIncomplete();
     }
 
     /** Returns whether a response is being streamed to a client. */
@@ -222,7 +220,7 @@
         return connections.isEmpty();
     }
 
-    /** Returns whether a response is pending or has not been written completely. */
+    /** Returns whether a response is pending, or a client may not have all of its last one yet. */
     public boolean hasPendingResponses() {
         return connections.hasPendingResponses();
     }
--- a/balancer/src/main/java/loadbalancer/process/GracefulShutdown.java
+++ b/balancer/src/main/java/loadbalancer/process/GracefulShutdown.java
@@ -18,9 +18,9 @@
         RUNNING,
         /** Reports that it is not ready, but accepts connections, because clients still come for a while. */
         LINGERING,
-        /** Accepts no more connections, and waits for those with a complete or partial request. */
+        /** Accepts no more connections, has rejected the requests that were arriving, and answers the others. */
         DRAINING,
-        /** The drain time-out has passed; only requests that were accepted are still answered. */
+        /** The drain time-out has passed; connections without a request are no longer waited for. */
         FINISHING,
         /** All accepted requests have been answered. */
         STOPPED
@@ -28,7 +28,7 @@
 
     /** How long connections are still accepted after the process reports that it is not ready. */
     private static final long LINGER_MILLIS = 600;
-    /** How long requests that are still arriving when the listeners close are waited for. */
+    /** How long connections without a request are waited for, where another process accepts new ones. */
     private static final long DRAIN_TIMEOUT_MILLIS = 2_600;
     /** Time for the last responses to be sent, and the interval between checks for open requests. */
     private static final long FLUSH_MILLIS = 20;
@@ -93,12 +93,11 @@
         }
     }
 
-    // Accepted requests are answered in any case. With a shared listener a successor already serves, so the process
-    // waits until every connection has ended. Otherwise nobody serves until it exits, so it waits for pending responses
-    // only.
+    // Accepted requests are answered in any case: those that had not arrived when the listeners were closed have been
+    // rejected. With a shared listener a successor already serves, so the process waits until every connection has
+    // ended. Otherwise nobody serves until it exits, so it waits for pending responses only.
     private void stopWhenDrained() {
-        boolean requestsLeft = listenerIsShared ? !clients.isEmpty() : clients.hasPendingResponses();
-        if (requestsLeft && beforeDrainTimeout() || clients.isStreaming()) {
+        if (hasResponsesLeft() || listenerIsShared && !clients.isEmpty() && beforeDrainTimeout()) {
             loop.schedule(this::stopWhenDrained, FLUSH_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
@@ -107,13 +106,17 @@
 
     // Checks again: a request may have become complete meanwhile, or a response may still be on its way to the client.
     private void stopIfNothingIsLeft() {
-        if (clients.hasPendingResponses() && beforeDrainTimeout()) {
+        if (hasResponsesLeft()) {
             stopWhenDrained();
             return;
         }
         finish();
     }
 
+    private boolean hasResponsesLeft() {
+        return clients.hasPendingResponses() || clients.isStreaming();
+    }
+
     private void finish() {
         if (state != State.STOPPED) {
             onStopped.run();
