Pass on a streamed response that is complete, whatever follows it

Cause: what follows a complete streamed response invalidated the connection before the end of the read had passed the response on, and invalidate() aborted its stream. The same answer without a copy arrived whole; of one with a length only the small piece that is joined until the end of the read was missing (1,499,092 of 1,500,000 bytes).

Change: invalidate() drops only a response that is incomplete; behind a complete one it just keeps the connection from being used again.

--- a/balancer/src/main/java/loadbalancer/upstream/ResponseReader.java
+++ b/balancer/src/main/java/loadbalancer/upstream/ResponseReader.java
@@ -244,11 +244,11 @@
     // a duplicate of the response right behind it would be taken for the response to the next request.
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
-        if (stream != null && !invalid) {
+        if (stream != null && (streamComplete || !invalid)) {
             stream.flush();
         }
-        if (streamComplete && !invalid) {
-            boolean reusable = isReusable();
+        if (streamComplete) {
+            boolean reusable = !invalid && isReusable();
             BodyStream ending = stream;
             stream = null;
             streamComplete = false;
@@ -288,17 +288,19 @@
         super.channelInactive(context);
     }
 
+    // A complete response is passed on whatever follows it; only its connection is not used again.
     private void invalidate() {
         invalid = true;
+        if (completeResponse != null || streamComplete) {
+            return;
+        }
         body.clear();
         cancelStreamingTimer();
         if (stream != null) {
             stream.abort();
         }
-        if (completeResponse == null) {
-            memory.releaseAll();
-            listener.onInvalidResponse();
-        }
+        memory.releaseAll();
+        listener.onInvalidResponse();
     }
 
     @Override
--- a/balancer/src/test/java/loadbalancer/process/BalancerFixture.java
+++ b/balancer/src/test/java/loadbalancer/process/BalancerFixture.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
 import java.io.IOException;
 import java.io.InputStream;
@@ -385,6 +386,26 @@
         return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
     }
 
+    /** Reads a chunked body up to its end. */
+    public static byte[] readChunkedBody(InputStream in) throws IOException {
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        while (true) {
+            StringBuilder size = new StringBuilder();
+            for (int c = in.read(); c != '\n'; c = in.read()) {
+                if (c < 0) {
+                    throw new IOException("the connection ended within the body");
+                }
+                size.append((char) c);
+            }
+            int bytes = Integer.parseInt(size.toString().strip(), 16);
+            body.write(in.readNBytes(bytes));
+            in.readNBytes(2);
+            if (bytes == 0) {
+                return body.toByteArray();
+            }
+        }
+    }
+
     /** Runs an action on the balancer's event loop, without waiting for it. */
     public void onLoop(Runnable action) {
         balancer.loop().execute(action);
--- a/balancer/src/test/java/loadbalancer/process/BodyStreamTest.java
+++ b/balancer/src/test/java/loadbalancer/process/BodyStreamTest.java
@@ -154,25 +154,6 @@
         }
     }
 
-    private static byte[] readChunkedBody(InputStream in) throws IOException {
-        java.io.ByteArrayOutputStream body = new java.io.ByteArrayOutputStream();
-        while (true) {
-            StringBuilder size = new StringBuilder();
-            for (int c = in.read(); c != '\n'; c = in.read()) {
-                if (c < 0) {
-                    throw new IOException("the connection ended within the body");
-                }
-                size.append((char) c);
-            }
-            int bytes = Integer.parseInt(size.toString().strip(), 16);
-            body.write(in.readNBytes(bytes));
-            in.readNBytes(2);
-            if (bytes == 0) {
-                return body.toByteArray();
-            }
-        }
-    }
-
     @Test
     void aTruncatedResponseIsTruncatedForTheClientToo() throws Exception {
         start();
--- a/balancer/src/test/java/loadbalancer/upstream/ResponseReaderTest.java
+++ b/balancer/src/test/java/loadbalancer/upstream/ResponseReaderTest.java
@@ -5,10 +5,12 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
 import loadbalancer.process.BalancerFixture;
 import loadbalancer.process.FakeUpstream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Responses that are malformed or endless, or are followed by unexpected data. */
@@ -94,6 +96,47 @@
         assertEquals(2, upstream.connectionCount());
     }
 
+    /** Guards against a streamed response that is cut off for what its upstream sends behind it. */
+    @ParameterizedTest
+    @CsvSource({"65537,false", "65537,true", "100000,false", "100000,true", "1500000,false", "1500000,true"})
+    void dataRightAfterAStreamedResponseDoesNotCutItOff(int bytes, boolean chunked) throws Exception {
+        start();
+        String body = "x".repeat(bytes);
+        String response = chunked
+                ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(body) + "0\r\n\r\n"
+                : "HTTP/1.1 200 OK\r\nContent-Length: " + bytes + "\r\n\r\n" + body;
+        int requests = 0;
+        for (String extraData : new String[] {response, "HTTP/1.1 20", "\u0007noise", "X: 1\r\n".repeat(2_000)}) {
+            try (Client client = new Client(listenAddress)) {
+                client.send(IDEMPOTENT_REQUEST);
+                FakeUpstream.ReceivedRequest received = upstream.nextRequest();
+                CompletableFuture.runAsync(() -> writeUnlessClosed(received, response + extraData));
+                assertEquals(bytes, chunked ? readChunks(client) : readDeclared(client));
+                assertEquals("OK closed", policy.nextEvent());
+                requests++;
+            }
+        }
+        assertEquals(requests, upstream.connectionCount());
+    }
+
+    private static void writeUnlessClosed(FakeUpstream.ReceivedRequest received, String text) {
+        try {
+            received.write(text);
+        } catch (IOException e) {
+            // the balancer has closed the connection behind the response
+        }
+    }
+
+    private static int readDeclared(Client client) throws IOException {
+        assertEquals(200, client.readStatus());
+        return client.body.length;
+    }
+
+    private static int readChunks(Client client) throws IOException {
+        FakeUpstream.readHead(client.in);
+        return readChunkedBody(client.in).length;
+    }
+
     @Test
     void unexpectedDataClosesAnIdleConnection() throws IOException, InterruptedException {
         start();
