Use a connection again only once the order of its bytes proves that it is free

Cause: a connection was used again 10 ms after its answer had been read. The copy had been written, and the upstream's system held it back until the balancer's next request acknowledged the answer. No time proves that nothing is still to come.

Change: ReuseCheck. Behind each response a health check is sent, whose response comes behind all that the upstream sent before; a request goes out only after that. A response that equals an earlier one of its connection or that to the health check is confirmed by another check. ReuseDelay is gone.

--- a/balancer/src/main/java/loadbalancer/transport/BodyStream.java
+++ b/balancer/src/main/java/loadbalancer/transport/BodyStream.java
@@ -219,10 +219,14 @@
         }
     }
 
-    /** Marks the body as complete: its last byte has been written. */
+    /**
+     * Marks the body as complete: its last byte has been written. The source is read again, as what follows on its
+     * connection does not belong to this body.
+     */
     public void complete() {
         flush();
         complete = true;
+        resume();
         completionListeners.forEach(Runnable::run);
         completionListeners.clear();
         if (sink != null && !closed) {
@@ -288,7 +292,7 @@
     }
 
     private void pause() {
-        if (!closed) {
+        if (!closed && !complete) {
             if (!paused) {
                 paused = true;
                 pausedAtNanos = System.nanoTime();
--- a/balancer/src/main/java/loadbalancer/upstream/RequestMessages.java
+++ b/balancer/src/main/java/loadbalancer/upstream/RequestMessages.java
@@ -44,8 +44,7 @@
                 HttpVersion.HTTP_1_1, request.method(), request.uri(), Unpooled.wrappedBuffer(request.body()));
         message.headers().add(request.headers());
         if (!message.headers().contains(HttpHeaderNames.HOST)) {
-            message.headers()
-                    .set(HttpHeaderNames.HOST, address.getAddress().getHostAddress() + ":" + address.getPort());
+            message.headers().set(HttpHeaderNames.HOST, hostOf(address));
         }
         if (!call.isProbe()) {
             message.headers().set(HeaderNames.DEADLINE_MILLIS, Long.toString(call.timeLeftMillis()));
@@ -54,6 +53,17 @@
         return message;
     }
 
+    /** Returns a request that no client waits for, see {@link ReuseCheck}. */
+    static FullHttpRequest healthCheck(InetSocketAddress address) {
+        FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, HEALTH_PATH);
+        message.headers().set(HttpHeaderNames.HOST, hostOf(address));
+        return message;
+    }
+
+    private static String hostOf(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
     private static void setFraming(FullHttpRequest message, InboundRequest request) {
         BodyStream streamedBody = request.streamedBody();
         if (streamedBody != null && streamedBody.lengthBytes() >= 0) {
--- a/balancer/src/main/java/loadbalancer/upstream/ResponseReader.java
+++ b/balancer/src/main/java/loadbalancer/upstream/ResponseReader.java
@@ -48,8 +48,8 @@
         /** A response has started that is too large or too slow to be buffered; its body is streamed. */
         void onResponseStarted(UpstreamResponse response);
 
-        /** The last byte of a streamed response has arrived. */
-        void onResponseComplete(boolean reusable);
+        /** The last byte of a streamed response has arrived, whose body had {@code bodyBytes}. */
+        void onResponseComplete(UpstreamResponse response, long bodyBytes, boolean reusable);
     }
 
     private final Listener listener;
@@ -252,9 +252,10 @@
             BodyStream ending = stream;
             stream = null;
             streamComplete = false;
+            UpstreamResponse ended = new UpstreamResponse(head.status().code(), head.headers(), NO_BODY, ending);
             endResponse();
             ending.complete();
-            listener.onResponseComplete(reusable);
+            listener.onResponseComplete(ended, streamedBytes, reusable);
         } else if (completeResponse != null) {
             UpstreamResponse response = completeResponse;
             completeResponse = null;
--- a/balancer/src/main/java/loadbalancer/upstream/UpstreamConnection.java
+++ b/balancer/src/main/java/loadbalancer/upstream/UpstreamConnection.java
@@ -8,14 +8,16 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import loadbalancer.policy.AttemptOutcome;
 import loadbalancer.policy.LoadReport;
 import loadbalancer.transport.BodyStream;
 import loadbalancer.transport.UpstreamResponse;
 
 /**
- * One connection to an upstream. It processes one call at a time, and is idle between two calls. Used on the event
- * loop's thread only.
+ * One connection to an upstream. It processes one call at a time, and is idle between two calls, once the {@link
+ * ReuseCheck} allows it to carry another. Used on the event loop's thread only.
  */
 final class UpstreamConnection implements ResponseReader.Listener {
     /** How much of the current request has been written; applies to the last request until the connection is idle. */
@@ -39,6 +41,9 @@
     private long idleSinceMicros;
     private BodyStream upload; // the body of the last request, if it is streamed
     private BodyStream download; // the body of a response that is being streamed
+    private final ReuseCheck reuse = new ReuseCheck();
+    private Future<?> reuseTimer; // until the health check is sent, and then until it is given up
+    private UpstreamResponse unconfirmed; // a response that may be a copy of the one to the health check
 
     UpstreamConnection(UpstreamConnector connector, UpstreamEndpoint endpoint, UpstreamCall call) {
         this.connector = connector;
@@ -100,15 +105,17 @@
         return idleSinceMicros;
     }
 
-    /** Returns the rest of the {@link ReuseDelay} of this connection, in microseconds. */
-    long reuseDelayMicros() {
-        return ReuseDelay.remainingMicros(idleSinceMicros, connector.nowMicros());
+    /** Returns whether a request may be sent now, see {@link ReuseCheck}. */
+    boolean isProven() {
+        return reuse.isProven();
     }
 
-    /** Sends the request of {@code next} once the {@link ReuseDelay} is over. */
-    void sendAfterReuseDelay(UpstreamCall next) {
+    /** Sends the request of {@code next} when that is allowed, see {@link ReuseCheck}. */
+    void sendWhenProven(UpstreamCall next) {
         assign(next);
-        ReuseDelay.runAfter(connector.loop(), reuseDelayMicros(), this::sendAssigned);
+        if (reuse.isProven()) {
+            sendAssigned();
+        }
     }
 
     // While the call waited for this connection, it may have been abandoned or the endpoint may have drained.
@@ -123,9 +130,7 @@
         }
     }
 
-    /** Sends the request of {@code next}; the connection is idle and past its delay, or assigned to this call. */
-    void send(UpstreamCall next) {
-        assign(next);
+    private void send(UpstreamCall next) {
         progress = RequestProgress.SENDING;
         reader.expectResponse();
         FullHttpRequest message = RequestMessages.create(next, address);
@@ -167,8 +172,7 @@
     }
 
     private void endCall(AttemptOutcome outcome, UpstreamResponse response, LoadReport load) {
-        UpstreamCall endingCall = call;
-        call = null;
+        UpstreamCall endingCall = takeCall();
         if (endingCall != null) {
             endingCall.end(outcome, response, load);
         }
@@ -183,7 +187,61 @@
             close();
         } else {
             endpoint.addIdle(this);
+            if (!reuse.isProven()) {
+                reuseTimer = connector.loop().schedule(this::check, ReuseCheck.REST_MICROS, TimeUnit.MICROSECONDS);
+            }
+        }
+    }
+
+    // ---- the check before the connection is used again
+
+    // The endpoint may have drained while the connection rested.
+    private void check() {
+        if (!channel.isActive()) {
+            return;
+        }
+        if (!endpoint.accepts(connector.nowMicros())) {
+            endCall(AttemptOutcome.NOT_SENT, null, null);
+            close();
+            return;
+        }
+        reuse.checkSent();
+        sendHealthCheck();
+        reuseTimer = connector.loop().schedule(this::close, connector.connectTimeoutMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void sendHealthCheck() {
+        reader.expectResponse();
+        channel.writeAndFlush(RequestMessages.healthCheck(address));
+    }
+
+    private void onCheckResponse(UpstreamResponse response, boolean reusable) {
+        reuseTimer.cancel(false);
+        if (!reusable || !reuse.accept(ReuseCheck.Fingerprint.of(response))) {
+            close(); // onInactive finds another connection for a call that waits
+            return;
         }
+        endpoint.removeIdle(this);
+        sendAssigned();
+    }
+
+    private void confirm(UpstreamResponse response) {
+        unconfirmed = response;
+        reuse.confirmationSent();
+        sendHealthCheck();
+    }
+
+    private void onConfirmingResponse(UpstreamResponse response, boolean reusable) {
+        UpstreamResponse held = unconfirmed;
+        unconfirmed = null;
+        boolean confirmed = reuse.confirm(ReuseCheck.Fingerprint.of(held), ReuseCheck.Fingerprint.of(response));
+        UpstreamCall endingCall = takeCall();
+        if (confirmed && reusable) {
+            becomeIdle();
+        } else {
+            close();
+        }
+        end(endingCall, confirmed ? held : response);
     }
 
     void close() {
@@ -194,15 +252,50 @@
 
     @Override
     public void onResponse(UpstreamResponse response, boolean reusable) {
-        UpstreamCall endingCall = call;
-        call = null;
-        boolean requestEnded = upload == null || upload.isComplete();
-        // The connection becomes idle before the policy is notified, as the next attempt may use it.
-        if (progress == RequestProgress.SENT && requestEnded && reusable && endingCall != null) {
+        if (reuse.isChecking()) {
+            onCheckResponse(response, reusable);
+        } else if (reuse.isConfirming()) {
+            onConfirmingResponse(response, reusable);
+        } else if (call != null && reuse.mayBeCopy(ReuseCheck.Fingerprint.of(response))) {
+            onPossibleCopy(response, reusable);
+        } else {
+            onOwnResponse(response, reusable);
+        }
+    }
+
+    // What follows a copy in the same read may be the response to the request; its connection is invalid then.
+    private void onPossibleCopy(UpstreamResponse response, boolean reusable) {
+        if (reusable && isRequestSent()) {
+            confirm(response);
+        } else {
+            close(); // onInactive ends the call
+        }
+    }
+
+    private void onOwnResponse(UpstreamResponse response, boolean reusable) {
+        boolean keepsConnection = call != null && reusable && isRequestSent();
+        UpstreamCall endingCall = takeCall();
+        // The connection becomes idle before the policy is notified, as the next attempt may wait for it.
+        if (keepsConnection) {
+            reuse.responseEnded(ReuseCheck.Fingerprint.of(response));
             becomeIdle();
         } else {
             close();
         }
+        end(endingCall, response);
+    }
+
+    private boolean isRequestSent() {
+        return progress == RequestProgress.SENT && (upload == null || upload.isComplete());
+    }
+
+    private UpstreamCall takeCall() {
+        UpstreamCall taken = call;
+        call = null;
+        return taken;
+    }
+
+    private static void end(UpstreamCall endingCall, UpstreamResponse response) {
         if (endingCall != null) {
             endingCall.end(
                     ResponseClassifier.outcome(response),
@@ -213,13 +306,12 @@
 
     @Override
     public boolean acceptsStreaming() {
-        return call != null && !call.isProbe();
+        return call != null && !call.isProbe() && !reuse.isChecking();
     }
 
     @Override
     public void onResponseStarted(UpstreamResponse response) {
-        UpstreamCall endingCall = call;
-        call = null;
+        UpstreamCall endingCall = takeCall();
         download = response.streamedBody();
         boolean requestSent = progress == RequestProgress.SENT;
         if (!requestSent || endingCall == null) {
@@ -235,10 +327,10 @@
     }
 
     @Override
-    public void onResponseComplete(boolean reusable) {
+    public void onResponseComplete(UpstreamResponse response, long bodyBytes, boolean reusable) {
         download = null;
-        boolean requestEnded = upload == null || upload.isComplete();
-        if (requestEnded && reusable && channel.isActive()) {
+        if (isRequestSent() && reusable && channel.isActive() && !reuse.isConfirming()) {
+            reuse.responseEnded(ReuseCheck.Fingerprint.ofStreamed(response, bodyBytes));
             becomeIdle();
         } else {
             close();
@@ -265,6 +357,9 @@
     private void onClosed() {
         connector.connectionClosed();
         endpoint.removeIdle(this);
+        if (reuseTimer != null) {
+            reuseTimer.cancel(false);
+        }
         if (!active) {
             onInactive();
         }
--- a/balancer/src/main/java/loadbalancer/upstream/UpstreamConnectionPool.java
+++ b/balancer/src/main/java/loadbalancer/upstream/UpstreamConnectionPool.java
@@ -147,10 +147,8 @@
         UpstreamConnection idle = endpoint.takeIdle();
         if (idle == null) {
             connector.connect(endpoint, call);
-        } else if (idle.reuseDelayMicros() == 0) {
-            idle.send(call);
         } else {
-            idle.sendAfterReuseDelay(call);
+            idle.sendWhenProven(call);
         }
         return call;
     }
--- a/balancer/src/main/java/loadbalancer/upstream/UpstreamEndpoint.java
+++ b/balancer/src/main/java/loadbalancer/upstream/UpstreamEndpoint.java
@@ -79,27 +79,27 @@
     }
 
     /**
-     * Removes and returns an idle connection: the most recently used one whose {@link ReuseDelay} is over, so that
-     * surplus connections expire, or else the one whose delay ends soonest. Returns null if none is idle.
+     * Removes and returns an idle connection: of those that may carry a request now the most recently used one, so that
+     * surplus connections expire, or else the one whose {@link ReuseCheck} began first. Returns null if none is idle.
      */
     UpstreamConnection takeIdle() {
-        UpstreamConnection soonestReusable = null;
+        UpstreamConnection firstUnproven = null;
         for (Iterator<UpstreamConnection> iterator = idle.descendingIterator(); iterator.hasNext(); ) {
             UpstreamConnection connection = iterator.next();
             if (!connection.isUsable()) {
                 iterator.remove();
                 connection.close();
-            } else if (connection.reuseDelayMicros() == 0) {
+            } else if (connection.isProven()) {
                 iterator.remove();
                 return connection;
             } else {
-                soonestReusable = connection;
+                firstUnproven = connection;
             }
         }
-        if (soonestReusable != null) {
-            idle.remove(soonestReusable);
+        if (firstUnproven != null) {
+            idle.remove(firstUnproven);
         }
-        return soonestReusable;
+        return firstUnproven;
     }
 
     void closeIdle() {
--- a/balancer/src/test/java/loadbalancer/process/FakeUpstream.java
+++ b/balancer/src/test/java/loadbalancer/process/FakeUpstream.java
@@ -19,7 +19,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** A server for tests: queues each request that it receives, and the test writes the response. */
+/**
+ * A server for tests: queues each request that it receives, and the test writes the response. Health checks are
+ * answered at once and not queued, unless a test takes them.
+ */
 public final class FakeUpstream implements Closeable {
     /** A request as it was received, and the connection to respond on. */
     public record ReceivedRequest(String head, byte[] body, Socket socket, int connectionNumber) {
@@ -78,6 +81,10 @@
     private final BlockingQueue<ReceivedRequest> requests = new LinkedBlockingQueue<>();
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private final AtomicInteger connections = new AtomicInteger();
+    private final AtomicInteger healthChecks = new AtomicInteger();
+    /** Whether health checks are queued like other requests. */
+    public volatile boolean queuesHealthChecks;
+
     private final List<Thread> threads = new CopyOnWriteArrayList<>();
     private final Thread acceptor;
 
@@ -121,7 +128,13 @@
             ReceivedRequest received = new ReceivedRequest(head, new byte[0], socket, connectionNumber);
             String length = received.header("Content-Length");
             byte[] body = in.readNBytes(length == null ? 0 : Integer.parseInt(length));
-            requests.add(new ReceivedRequest(head, body, socket, connectionNumber));
+            ReceivedRequest complete = new ReceivedRequest(head, body, socket, connectionNumber);
+            if (complete.requestLine().startsWith("GET /-/healthy ") && !queuesHealthChecks) {
+                healthChecks.incrementAndGet();
+                complete.respond(200, "", "healthy");
+                continue;
+            }
+            requests.add(complete);
             if (head.contains("watch=1")) {
                 return; // the test reads the rest of a watch itself
             }
@@ -149,6 +162,11 @@
         return connections.get();
     }
 
+    /** Returns how many health checks have been answered. */
+    public int healthCheckCount() {
+        return healthChecks.get();
+    }
+
     /** Waits for the next request; fails if none comes. */
     public ReceivedRequest nextRequest() throws InterruptedException {
         ReceivedRequest received = requests.poll(20, TimeUnit.SECONDS);
--- a/balancer/src/test/java/loadbalancer/upstream/UpstreamConnectionPoolTest.java
+++ b/balancer/src/test/java/loadbalancer/upstream/UpstreamConnectionPoolTest.java
@@ -22,6 +22,9 @@
 import loadbalancer.process.FakeUpstream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Connections to upstreams: idle timeouts, drains, cancelled attempts, late duplicates and probes. */
 class UpstreamConnectionPoolTest extends BalancerFixture {
@@ -189,6 +192,103 @@
         }
     }
 
+    /**
+     * Guards against a copy that is taken for the response to the next request, however late it comes: here it is held
+     * back until the balancer sends again, as a system does that waits for an acknowledgement.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {5, 70_000})
+    void copyThatIsHeldBackUntilTheNextRequestIsNotForwarded(int bytes) throws Exception {
+        start();
+        upstream.queuesHealthChecks = true;
+        String response = "HTTP/1.1 200 X\r\nContent-Length: " + bytes + "\r\n\r\n" + "x".repeat(bytes);
+        try (Client client = new Client(listenAddress)) {
+            client.send(IDEMPOTENT_REQUEST);
+            upstream.nextRequest().write(response);
+            assertEquals(200, client.readStatus());
+            client.send(IDEMPOTENT_REQUEST.replace("r1", "r2"));
+            FakeUpstream.ReceivedRequest check = upstream.nextRequest();
+            assertEquals("GET /-/healthy HTTP/1.1", check.requestLine());
+            assertNull(check.header("Req-Id"));
+            check.write(response + "HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n");
+            FakeUpstream.ReceivedRequest second = upstream.nextRequest();
+            assertEquals("r2", second.header("Req-Id"));
+            assertEquals(2, second.connectionNumber());
+            second.respond(200, "", "its own");
+            assertEquals(200, client.readStatus());
+            assertEquals("its own", new String(client.body, StandardCharsets.UTF_8));
+        }
+    }
+
+    /** Guards against a copy that comes later than the health check and is taken for the response to a request. */
+    @ParameterizedTest
+    @CsvSource({"first,true", "first,false", "'',true", "'',false"})
+    void responseThatMayBeACopyIsConfirmed(String copyOf, boolean copied) throws Exception {
+        start();
+        upstream.queuesHealthChecks = true;
+        try (Client client = new Client(listenAddress)) {
+            client.send(IDEMPOTENT_REQUEST);
+            upstream.nextRequest().respond(200, "", "first");
+            assertEquals(200, client.readStatus());
+            client.send(IDEMPOTENT_REQUEST.replace("r1", "r2"));
+            upstream.nextRequest().respond(200, "", ""); // the health check
+            FakeUpstream.ReceivedRequest second = upstream.nextRequest();
+            assertEquals("r2", second.header("Req-Id"));
+            second.respond(200, "", copyOf);
+            FakeUpstream.ReceivedRequest confirmation = upstream.nextRequest();
+            assertEquals("GET /-/healthy HTTP/1.1", confirmation.requestLine());
+            confirmation.respond(200, "", copied ? "its own" : "");
+            assertEquals(200, client.readStatus());
+            assertEquals(copied ? "its own" : copyOf, new String(client.body, StandardCharsets.UTF_8));
+            client.send(IDEMPOTENT_REQUEST.replace("r1", "r3"));
+            assertEquals(copied ? 2 : 1, upstream.nextRequest().connectionNumber());
+        }
+    }
+
+    /** A well-behaved upstream costs a health check between two requests, and no connection. */
+    @Test
+    void connectionIsKeptForManyRequests() throws Exception {
+        start();
+        try (Client client = new Client(listenAddress)) {
+            for (int i = 0; i < 10; i++) {
+                client.send(IDEMPOTENT_REQUEST);
+                upstream.nextRequest().respond(200, "", "response " + i);
+                assertEquals(200, client.readStatus());
+            }
+        }
+        assertEquals(1, upstream.connectionCount());
+        assertTrue(upstream.healthCheckCount() >= 9, "health checks: " + upstream.healthCheckCount());
+    }
+
+    /** A request that leaves while it waits for the check does not take its connection with it. */
+    @Test
+    void connectionIsIdleAgainWhenItsWaitingRequestHasLeft() throws Exception {
+        start();
+        upstream.queuesHealthChecks = true;
+        try (Client client = new Client(listenAddress)) {
+            client.send(IDEMPOTENT_REQUEST);
+            upstream.nextRequest().respond(200, "", "first");
+            assertEquals(200, client.readStatus());
+            assertEquals("OK closed", policy.nextEvent());
+        }
+        FakeUpstream.ReceivedRequest check = upstream.nextRequest();
+        try (Client client = new Client(listenAddress)) {
+            client.send(IDEMPOTENT_REQUEST);
+            assertEquals("0 k1 700 true", policy.requests.poll(20, TimeUnit.SECONDS));
+            assertEquals("0 k1 700 true", policy.requests.poll(20, TimeUnit.SECONDS));
+        }
+        assertEquals("client gone", policy.nextEvent());
+        assertEquals("NOT_SENT closed", policy.nextEvent());
+        check.respond(200, "", "");
+        try (Client client = new Client(listenAddress)) {
+            client.send(IDEMPOTENT_REQUEST);
+            FakeUpstream.ReceivedRequest received = upstream.nextRequest();
+            assertEquals(1, received.connectionNumber());
+            received.respond(200, "", "last");
+            assertEquals(200, client.readStatus());
+        }
+    }
+
     private static boolean fillBacklog(List<Socket> fillers, int port) throws IOException {
         Socket socket = new Socket();
         try {
--- a/simulator/src/main/java/loadbalancer/simulator/fleet/QuickUpstream.java
+++ b/simulator/src/main/java/loadbalancer/simulator/fleet/QuickUpstream.java
@@ -68,10 +68,11 @@
     private static final class Answers extends SimpleChannelInboundHandler<FullHttpRequest> {
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            boolean healthCheck = request.uri().startsWith("/-/");
             DefaultFullHttpResponse answer = new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1,
                     HttpResponseStatus.OK,
-                    Unpooled.copiedBuffer("done", StandardCharsets.US_ASCII));
+                    Unpooled.copiedBuffer(healthCheck ? "" : "done", StandardCharsets.US_ASCII));
             HttpUtil.setContentLength(answer, answer.content().readableBytes());
             context.writeAndFlush(answer);
         }
