Give each permission to send an end, and hold it at the write

Cause: RetrySafetyRule.permits held the window against the time of the decision only; the attempt then waited for its connection and was written whenever that came up. With the loop held up between the decision and the write the same happened.

Change: the policy passes with the attempt for how long it is permitted (Actions.send). It is held right before the first byte (UpstreamCall.Listener.maySend), after every wait, and by a timer until the last byte is written. The same check holds deadlines and requests that have got their answer. A queued repeat is answered when its window ends. Where settings forbid probes, the check of a connection is a request without an id, which the protocol answers with 404.

--- a/balancer/src/main/java/loadbalancer/dispatch/AttemptRunner.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/AttemptRunner.java
@@ -8,6 +8,7 @@
 import loadbalancer.transport.BodyStream;
 import loadbalancer.transport.InboundRequest;
 import loadbalancer.transport.UpstreamResponse;
+import loadbalancer.upstream.UpstreamCall;
 import loadbalancer.upstream.UpstreamConnectionPool;
 
 /**
@@ -15,6 +16,9 @@
  * first successful response is forwarded to the client immediately. Used on the event loop's thread only.
  */
 final class AttemptRunner {
+    /** The permission of an attempt that no time limits. */
+    static final long UNLIMITED_MICROS = Long.MAX_VALUE;
+
     /** The last attempt times out this long before the last-resort response, so that the policy can still respond. */
     private static final long POLICY_RESPONSE_MARGIN_MICROS = 6_000;
 
@@ -49,10 +53,12 @@
      * Sends an attempt, or reports it as {@link AttemptOutcome#NOT_SENT} if it is not allowed.
      *
      * @param timeoutMicros the timeout of the attempt; 0 if only the deadline limits it
+     * @param permittedMicros the time within which its last byte has to be written
      */
-    void start(OpenRequest openRequest, String endpointId, long timeoutMicros) {
+    void start(OpenRequest openRequest, String endpointId, long timeoutMicros, long permittedMicros) {
         long nowMicros = clock.nowMicros();
-        Attempt attempt = new Attempt(openRequest, openRequest.attempts.size(), nowMicros, timeoutMicros);
+        Attempt attempt =
+                new Attempt(openRequest, openRequest.attempts.size(), nowMicros, timeoutMicros, permittedMicros);
         openRequest.attempts.add(attempt);
         openRequest.attemptsInFlight++;
         InboundRequest request = openRequest.request;
@@ -67,11 +73,17 @@
         if (!openRequest.isBodyComplete()) {
             streamedBody.whenComplete(() -> scheduleTimeout(attempt));
         }
-        attempt.call = connections.send(
-                endpointId,
-                request,
-                effectiveTimeoutMicros,
-                (outcome, response, load) -> end(attempt, outcome, response, load));
+        attempt.call = connections.send(endpointId, request, effectiveTimeoutMicros, new UpstreamCall.Listener() {
+            @Override
+            public boolean maySend() {
+                return !attempt.ended && !openRequest.closed && timeLeftMicros(attempt) > 0;
+            }
+
+            @Override
+            public void onEnd(AttemptOutcome outcome, UpstreamResponse response, LoadReport load) {
+                end(attempt, outcome, response, load);
+            }
+        });
     }
 
     private static boolean maySend(Attempt attempt, long effectiveTimeoutMicros) {
@@ -98,7 +110,7 @@
 
     private void timeoutTimerExpired(Attempt attempt) {
         if (timeLeftMicros(attempt) > 0) {
-            scheduleTimeout(attempt); // more of the body has arrived
+            scheduleTimeout(attempt); // more of the body has arrived, or the request has been written
         } else {
             boolean sending = attempt.call != null && attempt.call.isSending();
             abandon(attempt, AttemptOutcome.TIMEOUT, sending ? AttemptOutcome.CONNECT_FAILED : AttemptOutcome.NOT_SENT);
@@ -108,7 +120,7 @@
     private long timeLeftMicros(Attempt attempt) {
         OpenRequest openRequest = attempt.openRequest;
         long nowMicros = clock.nowMicros();
-        long timeLeftMicros = timeLeftMicros(openRequest, nowMicros);
+        long timeLeftMicros = Math.min(attempt.permittedMicros(nowMicros), timeLeftMicros(openRequest, nowMicros));
         if (attempt.timeoutMicros == 0 || !openRequest.isBodyComplete()) {
             return timeLeftMicros;
         }
@@ -165,6 +177,7 @@
         if (outcome == AttemptOutcome.OK && !openRequest.closed) {
             openRequests.close(openRequest);
             openRequest.responder.respond(response);
+            cancelUnsent(openRequest);
         }
         events.submit(nowMicros -> policy.outcome(
                 nowMicros, openRequest.id, attempt.number, outcome, latencyMicros, openRequest.closed, load, actions));
--- a/balancer/src/main/java/loadbalancer/dispatch/PolicyActions.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/PolicyActions.java
@@ -59,9 +59,14 @@
 
     @Override
     public void send(String requestId, String endpointId, long timeoutMicros) {
+        send(requestId, endpointId, timeoutMicros, AttemptRunner.UNLIMITED_MICROS);
+    }
+
+    @Override
+    public void send(String requestId, String endpointId, long timeoutMicros, long permittedMicros) {
         OpenRequest openRequest = openRequests.find(requestId);
         if (openRequest != null) {
-            attempts.start(openRequest, endpointId, timeoutMicros);
+            attempts.start(openRequest, endpointId, timeoutMicros, permittedMicros);
         }
     }
 
--- a/balancer/src/main/java/loadbalancer/upstream/RequestMessages.java
+++ b/balancer/src/main/java/loadbalancer/upstream/RequestMessages.java
@@ -17,6 +17,7 @@
 final class RequestMessages {
     private static final String LOAD_PATH = "/-/load";
     private static final String HEALTH_PATH = "/-/healthy";
+    private static final String NO_RESOURCE_PATH = "/-/none";
 
     private RequestMessages() {}
 
@@ -53,9 +54,13 @@
         return message;
     }
 
-    /** Returns a request that no client waits for, see {@link ReuseCheck}. */
-    static FullHttpRequest healthCheck(InetSocketAddress address) {
-        FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, HEALTH_PATH);
+    /**
+     * Returns a request that no client waits for, see {@link ReuseCheck}: a health check or, where the settings forbid
+     * probes, a request without an id, which upstreams answer with 404.
+     */
+    static FullHttpRequest healthCheck(InetSocketAddress address, boolean probesAllowed) {
+        String path = probesAllowed ? HEALTH_PATH : NO_RESOURCE_PATH;
+        FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
         message.headers().set(HttpHeaderNames.HOST, hostOf(address));
         return message;
     }
--- a/balancer/src/main/java/loadbalancer/upstream/UpstreamCall.java
+++ b/balancer/src/main/java/loadbalancer/upstream/UpstreamCall.java
@@ -12,6 +12,14 @@
     public interface Listener {
         /** {@code response} is null if there is none, {@code load} if there is no load report. */
         void onEnd(AttemptOutcome outcome, UpstreamResponse response, LoadReport load);
+
+        /**
+         * Returns whether the request may still be sent. Asked right before its first byte is written, as it may have
+         * waited for a connection; if not, the call ends as {@link AttemptOutcome#NOT_SENT}.
+         */
+        default boolean maySend() {
+            return true;
+        }
     }
 
     private enum State {
@@ -58,6 +66,10 @@
         request = null;
     }
 
+    boolean maySend() {
+        return listener.maySend();
+    }
+
     boolean isProbe() {
         return timeoutMillis == PROBE_TIMEOUT_MILLIS;
     }
--- a/balancer/src/main/java/loadbalancer/upstream/UpstreamConnection.java
+++ b/balancer/src/main/java/loadbalancer/upstream/UpstreamConnection.java
@@ -118,13 +118,18 @@
         }
     }
 
-    // While the call waited for this connection, it may have been abandoned or the endpoint may have drained.
+    // While the call waited for this connection, it may have been abandoned, the endpoint may have drained, and the
+    // permission to send it may have ended.
     private void sendAssigned() {
         if (call == null) {
             becomeIdle(); // the connection is established, so a later call can use it
         } else if (!endpoint.accepts(connector.nowMicros())) {
             endCall(AttemptOutcome.NOT_SENT, null, null);
             close();
+        } else if (!call.maySend()) {
+            UpstreamCall notSent = takeCall();
+            becomeIdle();
+            notSent.end(AttemptOutcome.NOT_SENT, null, null);
         } else {
             send(call);
         }
@@ -212,7 +217,7 @@
 
     private void sendHealthCheck() {
         reader.expectResponse();
-        channel.writeAndFlush(RequestMessages.healthCheck(address));
+        channel.writeAndFlush(RequestMessages.healthCheck(address, connector.probesAllowed()));
     }
 
     private void onCheckResponse(UpstreamResponse response, boolean reusable) {
--- a/balancer/src/main/java/loadbalancer/upstream/UpstreamConnector.java
+++ b/balancer/src/main/java/loadbalancer/upstream/UpstreamConnector.java
@@ -87,6 +87,10 @@
         return idleTimeoutMicros;
     }
 
+    boolean probesAllowed() {
+        return siteSettings.policySettings().limits().probingAllowed();
+    }
+
     /** Returns the timeout for opening a connection, and for a probe as a whole. */
     int connectTimeoutMillis() {
         long limitMicros = siteSettings.policySettings().limits().connectTimeoutMicros();
--- a/balancer/src/test/java/loadbalancer/process/BalancerFixture.java
+++ b/balancer/src/test/java/loadbalancer/process/BalancerFixture.java
@@ -38,6 +38,7 @@
         public final Map<String, Long> startedAt = new ConcurrentHashMap<>();
         public volatile LearnedState learnedState = LearnedState.NONE;
         public volatile long timeoutMicros;
+        public volatile long permittedMicros = Long.MAX_VALUE;
         public volatile boolean throwsOnRequest;
         public volatile boolean retriesWhenFull;
         public volatile boolean cancelsForGoneClients = true;
@@ -71,7 +72,7 @@
                 throw new IllegalStateException("broken");
             }
             if (endpointId != null) {
-                actions.send(request, endpointId, timeoutMicros);
+                actions.send(request, endpointId, timeoutMicros, permittedMicros);
             }
         }
 
--- a/balancer/src/test/java/loadbalancer/upstream/UpstreamConnectionPoolTest.java
+++ b/balancer/src/test/java/loadbalancer/upstream/UpstreamConnectionPoolTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -289,6 +290,96 @@
         }
     }
 
+    /** Guards against an attempt that is written after the end of its permission, as it waited for a connection. */
+    @Test
+    @Timeout(60)
+    void attemptIsNotSentAfterItsPermissionHasEnded() throws Exception {
+        List<Socket> fillers = new ArrayList<>();
+        try (ServerSocket fullListener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            while (fillBacklog(fillers, fullListener.getLocalPort())) {
+                assertTrue(fillers.size() < 50, "the backlog never fills");
+            }
+            endpointAddress = "127.0.0.1:" + fullListener.getLocalPort();
+            start(Map.of("DialTimeout", 30_000_000), 1024);
+            policy.permittedMicros = 200_000;
+            try (Client client = new Client(listenAddress)) {
+                client.send(IDEMPOTENT_REQUEST.replace("20000", "500000")); // a long deadline
+                assertEquals("NOT_SENT", policy.nextEvent());
+                assertEquals(502, client.readStatus());
+                policy.permittedMicros = Long.MAX_VALUE;
+                acceptAll(fullListener);
+                assertFillersAreAccepted(fillers.size());
+                client.send(IDEMPOTENT_REQUEST.replace("r1", "r2"));
+                String head = FakeUpstream.readHead(
+                        accepted.poll(20, TimeUnit.SECONDS).getInputStream());
+                assertTrue(head.contains("Req-Id: r2"), head);
+            }
+        } finally {
+            for (Socket filler : fillers) {
+                filler.close();
+            }
+        }
+    }
+
+    /** Guards against a check of the permission before the wait instead of at the write: here the loop is held up. */
+    @Test
+    void permissionIsCheckedWhenTheRequestIsWritten() throws Exception {
+        start();
+        upstream.queuesHealthChecks = true;
+        try (Client client = new Client(listenAddress)) {
+            client.send(IDEMPOTENT_REQUEST);
+            upstream.nextRequest().respond(200, "", "first");
+            assertEquals(200, client.readStatus());
+            assertEquals("OK closed", policy.nextEvent());
+            FakeUpstream.ReceivedRequest check = upstream.nextRequest();
+            policy.endpointId = null;
+            client.send(IDEMPOTENT_REQUEST.replace("r1", "r2"));
+            assertEquals("0 k1 700 true", policy.requests.poll(20, TimeUnit.SECONDS));
+            assertEquals("0 k1 700 true", policy.requests.poll(20, TimeUnit.SECONDS));
+            long permittedNanos = TimeUnit.MILLISECONDS.toNanos(50);
+            onLoop(() -> {
+                long startNanos = System.nanoTime();
+                policy.actions.send("2", "s1", 0, TimeUnit.NANOSECONDS.toMicros(permittedNanos));
+                respondUnchecked(check);
+                while (System.nanoTime() - startNanos <= permittedNanos) {
+                    Thread.onSpinWait();
+                }
+            });
+            assertEquals("NOT_SENT", policy.nextEvent());
+            assertEquals(502, client.readStatus());
+            policy.endpointId = "s1";
+            client.send(IDEMPOTENT_REQUEST.replace("r1", "r3"));
+            FakeUpstream.ReceivedRequest next = upstream.nextRequest();
+            assertEquals("r3", next.header("Req-Id"));
+            assertEquals(1, next.connectionNumber());
+        }
+    }
+
+    private static void respondUnchecked(FakeUpstream.ReceivedRequest request) {
+        try {
+            request.respond(200, "", "");
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Guards against a permission that covers only the first byte: the request runs with its last one. */
+    @Test
+    void requestThatIsNotWrittenCompletelyWithinItsPermissionIsAbandoned() throws Exception {
+        try (ServerSocket hanging = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            endpointAddress = "127.0.0.1:" + hanging.getLocalPort();
+            start();
+            policy.permittedMicros = 300_000;
+            try (Client client = new Client(listenAddress)) {
+                String head = post("pay", "Idempotency-Key: k\r\nReq-Deadline-Ms: 20000\r\n", "")
+                        .replace(": 0\r\n", ": 200000\r\n");
+                client.send(head + "x".repeat(100_000));
+                assertEquals("CONNECT_FAILED", policy.nextEvent());
+                assertEquals(502, client.readStatus());
+            }
+        }
+    }
+
     private static boolean fillBacklog(List<Socket> fillers, int port) throws IOException {
         Socket socket = new Socket();
         try {
--- a/core/src/main/java/loadbalancer/policy/AttemptDispatcher.java
+++ b/core/src/main/java/loadbalancer/policy/AttemptDispatcher.java
@@ -18,13 +18,23 @@
         if (sendIfPossible(request, now, actions)) {
             return;
         }
-        if (components.queue.isOutOfTime(request, now)) {
+        if (components.queue.isOutOfTime(request, now) || !mayStillBeSent(request, now)) {
             components.openRequests.endUnserved(request, actions);
         } else {
             components.queue.enqueue(request);
         }
     }
 
+    /** Whether the request may be sent to any endpoint, now or later. */
+    boolean mayStillBeSent(RequestState request, long now) {
+        return permittedMicros(request, now) > 0;
+    }
+
+    private long permittedMicros(RequestState request, long now) {
+        AttemptState first = RetrySafetyRule.firstThatMayHaveRun(request);
+        return RetrySafetyRule.permittedMicros(request, first, now, components.settings.tickMicros());
+    }
+
     /** Sends queued requests to endpoints that are free. */
     void drainQueue(long now, LoadBalancingPolicy.Actions actions) {
         components.queue.drain(request -> sendIfPossible(request, now, actions));
@@ -55,6 +65,7 @@
     }
 
     private void send(RequestState request, EndpointStats target, long now, LoadBalancingPolicy.Actions actions) {
+        long permittedMicros = permittedMicros(request, now);
         AttemptState attempt = new AttemptState(target, request, now);
         request.attempts.add(attempt);
         request.attemptsInFlight++;
@@ -63,6 +74,11 @@
         components.queueLengths.attemptStarted(target);
         components.ranking.credit(target);
         components.slowStart.spend(target);
-        actions.send(request.id, target.endpoint.id(), ResponseTimeoutRule.timeoutMicros(request, now));
+        long timeoutMicros = ResponseTimeoutRule.timeoutMicros(request, now);
+        if (permittedMicros == RetrySafetyRule.UNLIMITED_MICROS) {
+            actions.send(request.id, target.endpoint.id(), timeoutMicros);
+        } else {
+            actions.send(request.id, target.endpoint.id(), timeoutMicros, permittedMicros);
+        }
     }
 }
--- a/core/src/main/java/loadbalancer/policy/LoadBalancingPolicy.java
+++ b/core/src/main/java/loadbalancer/policy/LoadBalancingPolicy.java
@@ -103,6 +103,15 @@
         /** Sends an attempt; a {@code timeoutMicros} of 0 means until the request's deadline. */
         void send(String request, String endpoint, long timeoutMicros);
 
+        /**
+         * Sends an attempt that is permitted for {@code permittedMicros} only: if its last byte has not been written to
+         * the endpoint by then, whatever it waited for, it is not sent, and ends with an outcome that says so. By
+         * default this ignores the limit.
+         */
+        default void send(String request, String endpoint, long timeoutMicros, long permittedMicros) {
+            send(request, endpoint, timeoutMicros);
+        }
+
         /**
          * Final answer: the request is rejected, and a retry by the client is harmless. A {@code retryAfterMicros} of 0
          * gives no advice.
--- a/core/src/main/java/loadbalancer/policy/RequestQueue.java
+++ b/core/src/main/java/loadbalancer/policy/RequestQueue.java
@@ -93,13 +93,16 @@
 
     /**
      * Returns the requests that must get their final answer now. A request that was never sent expires as soon as it
-     * can no longer meet its latency objective; any other request expires shortly before its deadline.
+     * can no longer meet its latency objective, and one that may have run as soon as it may not be sent again; any
+     * other request expires shortly before its deadline.
      */
     List<RequestState> expired(long now) {
         List<RequestState> expired = new ArrayList<>();
         for (List<RequestState> queue : List.of(withinQuota, lowPriority)) {
             for (RequestState request : queue) {
-                if (isOutOfTime(request, now) || request.attempts.isEmpty() && now >= latestSendAt(request)) {
+                if (isOutOfTime(request, now)
+                        || request.attempts.isEmpty() && now >= latestSendAt(request)
+                        || !mayStillBeSent(request, now)) {
                     expired.add(request);
                 }
             }
@@ -107,6 +110,11 @@
         return expired;
     }
 
+    private boolean mayStillBeSent(RequestState request, long now) {
+        AttemptState first = RetrySafetyRule.firstThatMayHaveRun(request);
+        return RetrySafetyRule.permittedMicros(request, first, now, settings.tickMicros()) > 0;
+    }
+
     // When the request must be sent to meet its latency objective. A request that is past its objective on arrival
     // does not wait.
     private long latestSendAt(RequestState request) {
--- a/core/src/test/java/loadbalancer/policy/Harness.java
+++ b/core/src/test/java/loadbalancer/policy/Harness.java
@@ -29,6 +29,9 @@
             this.sentAt = sentAt;
             this.timeout = timeout;
         }
+
+        /** For how long the attempt is permitted, if that is limited. */
+        long permittedMicros = Long.MAX_VALUE;
     }
 
     final LoadBalancingPolicy policy;
@@ -264,6 +267,12 @@
         log.add(now + " send " + request + " " + endpoint + " " + timeoutMicros);
     }
 
+    @Override
+    public void send(String request, String endpoint, long timeoutMicros, long permittedMicros) {
+        send(request, endpoint, timeoutMicros);
+        sends.get(sends.size() - 1).permittedMicros = permittedMicros;
+    }
+
     private void recordFinalAnswer(String request, String answer) {
         if (finalAnswers.putIfAbsent(request, answer) != null) {
             duplicateFinalAnswers++;
--- a/core/src/test/java/loadbalancer/policy/SafetyRulesTest.java
+++ b/core/src/test/java/loadbalancer/policy/SafetyRulesTest.java
@@ -97,6 +97,40 @@
         assertEquals(scope == KeyScope.ALL ? "refused" : "failed", harness.finalAnswers.get("r"));
     }
 
+    /** Guards against a repeat that waits for its connection beyond the retention of its key. */
+    @Test
+    void aRepeatIsPermittedForTheRestOfTheRetentionOfItsKeyOnly() {
+        Harness harness = warmedUp(Harness.requestClass(Idempotency.IDEMPOTENT_WITH_KEY, KeyScope.ALL));
+        Harness.Sent first = harness.request("r", 0);
+        assertEquals(Long.MAX_VALUE, first.permittedMicros, "nothing limits a first attempt");
+        harness.advance(100_000);
+        harness.end(first, AttemptOutcome.RESET);
+        long permittedMicros = harness.sentFor("r").get(1).permittedMicros;
+        assertTrue(permittedMicros <= 1_900_000 && permittedMicros > 1_800_000, "permitted: " + permittedMicros);
+    }
+
+    /** Guards against a request that waits for its deadline although it may not be sent any more. */
+    @Test
+    void aQueuedRepeatIsAnsweredWhenTheRetentionOfItsKeyEnds() {
+        RequestClass shortRetention = new RequestClass(
+                Idempotency.IDEMPOTENT_WITH_KEY,
+                KeyScope.ALL,
+                200_000,
+                Harness.LATENCY_OBJECTIVE_MICROS,
+                Harness.DEADLINE_MICROS,
+                0,
+                1,
+                0.3,
+                false);
+        Harness harness = warmedUp(shortRetention);
+        Harness.Sent first = harness.request("r", 0);
+        harness.list(EndpointListKind.SNAPSHOT, List.of());
+        harness.end(first, AttemptOutcome.RESET);
+        assertNull(harness.finalAnswers.get("r"));
+        harness.advance(200_000);
+        assertEquals("refused", harness.finalAnswers.get("r"));
+    }
+
     @Test
     void noRequestIsSentToADrainingOrGoneEndpoint() {
         Harness harness = new Harness(Harness.settings(IDEMPOTENT), 1).list(EndpointListKind.CACHED, Harness.fleet(3));
