Send nothing for a client that is not read, and no id again that may have run

Cause: that a client has left is seen only behind all that it sent, and a body that waits is not read beyond 1 MiB. Nothing else tells. Ids were held only while their requests were open in the same process.

UnansweredIds holds the last 4,096 ids that may have run and have no answer; both processes of a handover tell each other by two new messages that other releases ignore.

--- a/balancer/src/main/java/loadbalancer/dispatch/AttemptRunner.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/AttemptRunner.java
@@ -69,6 +69,7 @@
             end(attempt, AttemptOutcome.NOT_SENT, null, null);
             return;
         }
+        openRequests.attemptStarted(openRequest);
         scheduleTimeout(attempt);
         if (!openRequest.isBodyComplete()) {
             streamedBody.whenComplete(() -> scheduleTimeout(attempt));
@@ -172,10 +173,11 @@
         }
         OpenRequest openRequest = attempt.openRequest;
         openRequest.attemptsInFlight--;
+        openRequests.attemptEnded(openRequest, outcome.neverRan());
         long startMicros = Math.max(attempt.sentAtMicros, openRequest.completeAtMicros);
         long latencyMicros = Math.max(0, clock.nowMicros() - startMicros);
         if (outcome == AttemptOutcome.OK && !openRequest.closed) {
-            openRequests.close(openRequest);
+            openRequests.closeAnswered(openRequest);
             openRequest.responder.respond(response);
             cancelUnsent(openRequest);
         }
--- a/balancer/src/main/java/loadbalancer/dispatch/OpenRequest.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/OpenRequest.java
@@ -15,6 +15,8 @@
     InboundRequest request; // without its headers and its body once it is closed
     final ClientResponder responder;
     final int maxAttempts;
+    final boolean repeatable; // it may run more than once
+    boolean mayHaveRun; // an attempt has ended that may have run
     final List<Attempt> attempts = new ArrayList<>(2);
     private long deadlineMicros;
     long completeAtMicros; // when its last byte was read; 0 until then
@@ -22,11 +24,18 @@
     boolean closed; // it has its final response, or its client has disconnected
     Future<?> lastResortTimer;
 
-    OpenRequest(String id, InboundRequest request, ClientResponder responder, long nowMicros, int maxAttempts) {
+    OpenRequest(
+            String id,
+            InboundRequest request,
+            ClientResponder responder,
+            long nowMicros,
+            int maxAttempts,
+            boolean repeatable) {
         this.id = id;
         this.request = request;
         this.responder = responder;
         this.maxAttempts = maxAttempts;
+        this.repeatable = repeatable;
         updateDeadline(nowMicros);
     }
 
--- a/balancer/src/main/java/loadbalancer/dispatch/OpenRequests.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/OpenRequests.java
@@ -16,11 +16,13 @@
     private final EventLoop loop;
     private final Map<String, OpenRequest> byId = new HashMap<>();
     private final Set<String> clientIds = new HashSet<>(); // the ids that the clients chose for these requests
+    private final UnansweredIds unansweredIds;
     private final List<Runnable> idleListeners = new ArrayList<>(1);
     private int unanswered;
 
-    OpenRequests(EventLoop loop) {
+    OpenRequests(EventLoop loop, UnansweredIds unansweredIds) {
         this.loop = loop;
+        this.unansweredIds = unansweredIds;
     }
 
     void add(OpenRequest openRequest) {
@@ -34,14 +36,36 @@
         return byId.get(id);
     }
 
+    /** Returns whether a request with this id of the client is open, or may have run without an answer. */
     boolean containsClientId(String clientId) {
-        return clientIds.contains(clientId);
+        return clientIds.contains(clientId) || unansweredIds.contains(clientId);
     }
 
     int unanswered() {
         return unanswered;
     }
 
+    /** Called before an attempt of the request is sent. */
+    void attemptStarted(OpenRequest openRequest) {
+        if (!openRequest.repeatable) {
+            unansweredIds.sent(openRequest.request.id());
+        }
+    }
+
+    /** Called when an attempt of the request has ended. */
+    void attemptEnded(OpenRequest openRequest, boolean neverRan) {
+        openRequest.mayHaveRun |= !neverRan;
+        if (!openRequest.mayHaveRun && openRequest.attemptsInFlight == 0) {
+            unansweredIds.settled(openRequest.request.id());
+        }
+    }
+
+    /** Closes a request that gets its final response now. */
+    void closeAnswered(OpenRequest openRequest) {
+        unansweredIds.settled(openRequest.request.id());
+        close(openRequest);
+    }
+
     /** Marks a request as not awaiting a response; it remains in the table while attempts are in flight. */
     void close(OpenRequest openRequest) {
         openRequest.closed = true;
--- a/balancer/src/main/java/loadbalancer/dispatch/PolicyActions.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/PolicyActions.java
@@ -74,7 +74,7 @@
     public void reject(String requestId, long retryAfterMicros) {
         OpenRequest openRequest = openRequests.find(requestId);
         if (openRequest != null && !openRequest.closed) {
-            openRequests.close(openRequest);
+            openRequests.closeAnswered(openRequest);
             openRequest.responder.reject(retryAfterMicros);
             openRequests.removeIfDone(openRequest);
         }
@@ -84,7 +84,7 @@
     public void fail(String requestId) {
         OpenRequest openRequest = openRequests.find(requestId);
         if (openRequest != null && !openRequest.closed) {
-            openRequests.close(openRequest);
+            openRequests.closeAnswered(openRequest);
             openRequest.responder.fail();
             openRequests.removeIfDone(openRequest);
         }
--- a/balancer/src/main/java/loadbalancer/dispatch/RequestDispatcher.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/RequestDispatcher.java
@@ -9,6 +9,7 @@
 import loadbalancer.discovery.EndpointSubset;
 import loadbalancer.logs.Log;
 import loadbalancer.policy.EndpointListKind;
+import loadbalancer.policy.Idempotency;
 import loadbalancer.policy.LearnedStateCodec;
 import loadbalancer.policy.LoadBalancingPolicy;
 import loadbalancer.settings.BootSettings;
@@ -35,12 +36,26 @@
     private BootSettings siteSettings;
     private UpstreamConnectionPool connections;
 
-    /** Creates a dispatcher; {@link #attach} has to be called before the first request. */
+    /** Creates a dispatcher that knows only its own requests; see the other constructor. */
     public RequestDispatcher(EventLoop loop, BootSettings siteSettings, LoadBalancingPolicy policy, Log log) {
+        this(loop, siteSettings, policy, log, new UnansweredIds());
+    }
+
+    /**
+     * Creates a dispatcher; {@link #attach} has to be called before the first request.
+     *
+     * @param unansweredIds the ids that may not run again, which all dispatchers of a process share
+     */
+    public RequestDispatcher(
+            EventLoop loop,
+            BootSettings siteSettings,
+            LoadBalancingPolicy policy,
+            Log log,
+            UnansweredIds unansweredIds) {
         this.loop = loop;
         this.siteSettings = siteSettings;
         this.policy = policy;
-        openRequests = new OpenRequests(loop);
+        openRequests = new OpenRequests(loop, unansweredIds);
         statistics = new DispatchStatistics(log);
         events = new PolicyEventQueue(clock, statistics);
         actions = new PolicyActions(loop, clock, openRequests, events, policy, siteSettings, log);
@@ -73,7 +88,8 @@
                 request,
                 responder,
                 nowMicros(),
-                siteSettings.policySettings().limits().maxAttempts());
+                siteSettings.policySettings().limits().maxAttempts(),
+                isRepeatable(request.requestClass()));
         openRequests.add(openRequest);
         if (request.streamedBody() == null) {
             openRequest.bodyCompleted(nowMicros());
@@ -94,6 +110,10 @@
         return () -> clientGone(openRequest);
     }
 
+    private boolean isRepeatable(int requestClass) {
+        return siteSettings.policySettings().classes().get(requestClass).idempotency() == Idempotency.IDEMPOTENT;
+    }
+
     // Runs from the start of each request, so that it does not depend on any further event. If more of the body has
     // arrived when it expires, the deadline is later by then.
     private void scheduleLastResort(OpenRequest openRequest) {
@@ -124,7 +144,7 @@
     private void respondAsLastResort(OpenRequest openRequest) {
         if (!openRequest.closed) {
             statistics.countLastResort();
-            openRequests.close(openRequest);
+            openRequests.closeAnswered(openRequest);
             openRequest.responder.fail();
             events.submit(nowMicros -> policy.clientGone(nowMicros, openRequest.id, actions));
             for (Attempt attempt : openRequest.attempts) {
--- a/balancer/src/main/java/loadbalancer/handover/HandoverCodec.java
+++ b/balancer/src/main/java/loadbalancer/handover/HandoverCodec.java
@@ -2,10 +2,14 @@
 
 import com.fasterxml.jackson.jr.ob.JSON;
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import loadbalancer.handover.HandoverMessage.DescriptorsInUse;
 import loadbalancer.handover.HandoverMessage.EndpointDrained;
 import loadbalancer.handover.HandoverMessage.EndpointRestored;
+import loadbalancer.handover.HandoverMessage.RequestSettled;
+import loadbalancer.handover.HandoverMessage.RequestsSent;
 import loadbalancer.handover.HandoverMessage.ServingNotice;
 import loadbalancer.handover.HandoverMessage.StateReply;
 import loadbalancer.handover.HandoverMessage.StateRequest;
@@ -24,6 +28,8 @@
     private static final String ENDPOINT_RESTORED = "up";
     private static final String DESCRIPTORS_IN_USE = "open";
     private static final String SERVING_NOTICE = "serving";
+    private static final String REQUESTS_SENT = "sent";
+    private static final String REQUEST_SETTLED = "settled";
 
     private HandoverCodec() {}
 
@@ -50,6 +56,11 @@
         } else if (message instanceof ServingNotice) {
             return Map.of(SERVING_NOTICE, true);
         }
+        if (message instanceof RequestsSent sent) {
+            return Map.of(REQUESTS_SENT, sent.idHashes());
+        } else if (message instanceof RequestSettled settled) {
+            return Map.of(REQUEST_SETTLED, settled.idHash());
+        }
         throw new IllegalArgumentException("message cannot be encoded: " + message);
     }
 
@@ -78,7 +89,22 @@
             return new DescriptorsInUse(count.intValue());
         } else if (fields.containsKey(SERVING_NOTICE)) {
             return new ServingNotice();
+        } else if (fields.get(REQUESTS_SENT) instanceof List<?> hashes) {
+            return new RequestsSent(numbers(hashes));
+        } else if (fields.get(REQUEST_SETTLED) instanceof Number hash) {
+            return new RequestSettled(hash.longValue());
         }
         return new Unrecognized();
     }
+
+    private static List<Long> numbers(List<?> values) throws HandoverFormatException {
+        List<Long> numbers = new ArrayList<>(values.size());
+        for (Object value : values) {
+            if (!(value instanceof Number number)) {
+                throw new HandoverFormatException(REQUESTS_SENT + ": not a number: " + value);
+            }
+            numbers.add(number.longValue());
+        }
+        return numbers;
+    }
 }
--- a/balancer/src/main/java/loadbalancer/handover/HandoverLink.java
+++ b/balancer/src/main/java/loadbalancer/handover/HandoverLink.java
@@ -168,6 +168,9 @@
      * the other process does not read, as the next report replaces it.
      */
     public void sendToPeer(HandoverMessage message) {
+        if (peers.isEmpty()) {
+            return;
+        }
         try {
             String line = HandoverCodec.encode(message) + "\n";
             for (Channel peer : peers) {
--- a/balancer/src/main/java/loadbalancer/handover/HandoverMessage.java
+++ b/balancer/src/main/java/loadbalancer/handover/HandoverMessage.java
@@ -1,5 +1,7 @@
 package loadbalancer.handover;
 
+import java.util.List;
+
 /** A message between a process and its predecessor or successor. {@link HandoverCodec} defines its wire form. */
 public sealed interface HandoverMessage {
     /** Requests the state that a successor starts from. */
@@ -33,6 +35,20 @@
      */
     record DescriptorsInUse(int count) implements HandoverMessage {}
 
+    /**
+     * The sender has sent requests, or is about to, that must not run again.
+     *
+     * @param idHashes the hashes of their ids
+     */
+    record RequestsSent(List<Long> idHashes) implements HandoverMessage {}
+
+    /**
+     * The sender has answered a request of {@link RequestsSent}, or it has certainly not run.
+     *
+     * @param idHash the hash of its id
+     */
+    record RequestSettled(long idHash) implements HandoverMessage {}
+
     /** The sender has started to serve clients. */
     record ServingNotice() implements HandoverMessage {}
 
--- a/balancer/src/main/java/loadbalancer/http/ClientConnection.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientConnection.java
@@ -1,6 +1,5 @@
 package loadbalancer.http;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -12,7 +11,6 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
-import java.nio.charset.StandardCharsets;
 import loadbalancer.transport.BodyStream;
 import loadbalancer.transport.ConnectionMemory;
 import loadbalancer.transport.HeadMemory;
@@ -27,6 +25,7 @@
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter implements RequestReader.Listener {
     static final String STOPPING_REASON = "stopping: trying again is harmless";
+    private static final String NO_ROOM_REASON = "no room for bodies: trying again is harmless";
     private static final byte[] NO_BODY = new byte[0];
 
     private final ClientRequestHandler requestHandler;
@@ -34,17 +33,15 @@
     private final ConnectionMemory responseMemory; // of responses that have not been written to the socket
     private final Channel channel;
     private final RequestReader reader;
-    private ClientRequestDecoder decoder; // null once a request has been rejected: it would hold the rejected head
     private final ResponseWriter writer;
     private final ClientTimeouts timeouts = new ClientTimeouts();
     private final PipelinedRequests pipelinedRequests;
     private final ServedRequest servedRequest;
+    private final ArrivingUpload upload;
+    private final Rejection rejection; // written after the responses to earlier requests, as the last one
     private ResponseState state = ResponseState.IDLE;
-    private RequestValidator.Problem rejection; // written after the responses to earlier requests, as the last one
     private boolean receiving; // a request has arrived in part
-    private boolean hasRequested; // a complete or streamed request has arrived, or one was rejected
-    private BodyStream upload; // the body of the request that is arriving, if it is streamed
-    private boolean uploadAnswered; // the response to the request of the upload has begun
+    private boolean hasRequested; // a complete or streamed request has arrived
     private BodyStream download; // the body of a response that is being streamed
 
     /** Creates a connection and adds its handlers to the pipeline of {@code channel}. */
@@ -55,18 +52,20 @@
         this.responseMemory = new ConnectionMemory(memory.responses());
         this.channel = channel;
         HeadMemory arrivingHead = new HeadMemory(headMemory);
-        this.decoder = new ClientRequestDecoder(arrivingHead);
+        ClientRequestDecoder decoder = new ClientRequestDecoder(arrivingHead);
         this.reader = new RequestReader(this, bodyMemory, arrivingHead, headMemory);
         this.writer = new ResponseWriter(channel, responseMemory);
         this.pipelinedRequests = new PipelinedRequests(bodyMemory, headMemory);
         this.servedRequest = new ServedRequest(bodyMemory, headMemory);
+        this.upload = new ArrivingUpload(channel.eventLoop(), () -> rejectArriving(NO_ROOM_REASON));
+        this.rejection = new Rejection(this, channel, reader, decoder);
         channel.pipeline().addLast(new ReadActivityHandler(this), decoder, new HttpResponseEncoder(), reader, this);
     }
 
     // ---- what the connection is doing
 
     boolean hasRequested() {
-        return hasRequested;
+        return hasRequested || rejection.hasBegun();
     }
 
     boolean isStreaming() {
@@ -88,7 +87,7 @@
     long receiveStalledNanos(long nowNanos) {
         boolean arriving = receiving
                 && state == ResponseState.IDLE
-                && upload == null
+                && !upload.isArriving()
                 && channel.config().isAutoRead();
         return arriving ? timeouts.sinceLastReadNanos(nowNanos) : 0;
     }
@@ -109,14 +108,18 @@
      * so it has not been written to an upstream either, even if the body is streamed.
      */
     void rejectIncomplete() {
-        if (!receiving || uploadAnswered && upload != null || state == ResponseState.ENDING) {
-            return;
+        if (receiving && !upload.isAnswered() && state != ResponseState.ENDING) {
+            rejectArriving(STOPPING_REASON);
         }
-        if (servedRequest.hasBody(upload)) {
+    }
+
+    // A request in service is answered at once, and the rest of its body is read and discarded as for any answer.
+    private void rejectArriving(String reason) {
+        if (servedRequest.hasBody(upload.body())) {
             servedRequest.abandon();
-            writeText(HttpResponseStatus.SERVICE_UNAVAILABLE, STOPPING_REASON, false);
+            writeText(HttpResponseStatus.SERVICE_UNAVAILABLE, reason, false);
         } else {
-            onInvalidRequest(HttpResponseStatus.SERVICE_UNAVAILABLE, STOPPING_REASON);
+            onInvalidRequest(HttpResponseStatus.SERVICE_UNAVAILABLE, reason);
         }
     }
 
@@ -126,18 +129,10 @@
             if (timeouts.isLingerOver(nowNanos)) {
                 close();
             }
-        } else if (upload != null && timeouts.isReceiveOverdue(nowNanos, upload.pausedNanos())) {
-            if (channel.config().isAutoRead()) {
-                close();
-            }
-        } else if (upload == null
-                && receiving
-                && channel.config().isAutoRead()
-                && timeouts.isReceiveOverdue(nowNanos, 0)) {
-            onInvalidRequest(HttpResponseStatus.REQUEST_TIMEOUT, "too slow");
-        } else if (download != null && timeouts.isTooSlow(download, nowNanos)) {
-            close();
-        } else if (timeouts.isIdleTooLong(idleNanos(nowNanos), hasRequested)) {
+        } else if (isReceiveOverdue(nowNanos)) {
+            endOverdueRequest();
+        } else if (download != null && timeouts.isTooSlow(download, nowNanos)
+                || timeouts.isIdleTooLong(idleNanos(nowNanos), hasRequested())) {
             close();
         }
         if (timeouts.isWriteStalled(nowNanos, writer.hasUnwrittenBytes())) {
@@ -145,6 +140,18 @@
         }
     }
 
+    private boolean isReceiveOverdue(long nowNanos) {
+        return receiving && channel.config().isAutoRead() && timeouts.isReceiveOverdue(nowNanos, upload.pausedNanos());
+    }
+
+    private void endOverdueRequest() {
+        if (upload.isArriving()) {
+            close();
+        } else {
+            onInvalidRequest(HttpResponseStatus.REQUEST_TIMEOUT, "too slow");
+        }
+    }
+
     /** Called when the channel has closed: releases the resources of the connection. */
     void onClosed() {
         reader.close();
@@ -172,16 +179,17 @@
             timeouts.startReceiving();
         }
         timeouts.onRead(bytes);
-        if (upload != null) {
-            upload.readStarted(earliestArrivalNanos());
-        }
+        upload.readStarted(earliestArrivalNanos());
     }
 
     /** Called when the bytes of a read that has left the socket empty have been decoded. */
     void onDrained() {
-        if (upload != null) {
-            upload.drained();
-        }
+        upload.drained();
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        upload.readCompleted();
     }
 
     @Override
@@ -194,9 +202,7 @@
     @Override
     public void onStreamedRequest(HttpRequest head, int headBytes, BodyStream body) {
         hasRequested = true;
-        upload = body;
-        upload.readStarted(earliestArrivalNanos());
-        uploadAnswered = false;
+        upload.begin(body, earliestArrivalNanos());
         pipelinedRequests.addStreamed(
                 new PipelinedRequests.Entry(head, headBytes, NO_BODY, body, earliestArrivalNanos()));
         serveNextIfWritable();
@@ -204,7 +210,7 @@
 
     @Override
     public void onStreamedRequestComplete() {
-        upload = null;
+        upload.end();
         receiving = false;
         timeouts.startPhase();
     }
@@ -230,34 +236,34 @@
     @Override
     public void onInvalidRequest(HttpResponseStatus status, String reason) {
         receiving = false;
-        if (rejection != null) {
+        if (rejection.hasBegun()) {
             return;
         }
-        startRejecting(status, reason);
-        if (upload == null) {
-            rejectIfIdle();
+        rejection.begin(status, reason);
+        if (upload.isArriving()) {
+            rejectInvalidUpload();
         } else {
-            rejectUpload();
+            rejectIfIdle();
         }
     }
 
     private void rejectIfIdle() {
         if (state == ResponseState.IDLE && pipelinedRequests.isEmpty()) {
-            writeText(rejection.status(), rejection.reason(), false);
+            writeRejection();
         }
     }
 
     // The request whose body has become invalid may be waiting or in service, or have its response already.
-    private void rejectUpload() {
-        if (uploadAnswered) {
+    private void rejectInvalidUpload() {
+        if (upload.isAnswered()) {
             if (state == ResponseState.IDLE) {
                 endAfter(channel.writeAndFlush(Unpooled.EMPTY_BUFFER)); // after what has not been written yet
             }
-        } else if (servedRequest.hasBody(upload)) {
+        } else if (servedRequest.hasBody(upload.body())) {
             servedRequest.abandon();
-            writeText(rejection.status(), rejection.reason(), false);
+            writeRejection();
         } else {
-            pipelinedRequests.removeStreamed(upload);
+            pipelinedRequests.removeStreamed(upload.body());
             rejectIfIdle();
         }
     }
@@ -265,20 +271,12 @@
     /** Rejects the request that is being served, and discards the requests behind it. */
     void reject(HttpResponseStatus status, String reason) {
         pipelinedRequests.clear();
-        startRejecting(status, reason);
+        rejection.begin(status, reason);
         writeText(status, reason, false);
     }
 
-    // Further data is discarded without decoding, as there may be hundreds of requests behind an invalid one.
-    private void startRejecting(HttpResponseStatus status, String reason) {
-        if (rejection != null) {
-            return;
-        }
-        hasRequested = true;
-        reader.close();
-        rejection = new RequestValidator.Problem(status, reason);
-        channel.pipeline().replace(decoder, null, new DiscardingHandler(this));
-        decoder = null;
+    private void writeRejection() {
+        writeText(rejection.status(), rejection.reason(), false);
     }
 
     @Override
@@ -299,7 +297,7 @@
     // responses could overflow the stack and delay all other clients. Also, a disconnect right after the request has
     // been read by then, so that nothing is forwarded for a client that has left.
     private void scheduleNext() {
-        if (state == ResponseState.IDLE && (rejection != null || !pipelinedRequests.isEmpty())) {
+        if (state == ResponseState.IDLE && (rejection.hasBegun() || !pipelinedRequests.isEmpty())) {
             state = ResponseState.SCHEDULED;
             channel.eventLoop().execute(this::serveNext);
         }
@@ -313,8 +311,8 @@
         }
         if (next != null) {
             serve(next);
-        } else if (rejection != null) {
-            writeText(rejection.status(), rejection.reason(), false);
+        } else if (rejection.hasBegun()) {
+            writeRejection();
         }
     }
 
@@ -333,27 +331,14 @@
 
     /** Writes a response with one line of text to the request that is being served. */
     void writeText(HttpResponseStatus status, String text, boolean keepAlive) {
-        ByteBuf body = Unpooled.copiedBuffer(text + "\n", StandardCharsets.UTF_8);
-        write(status, body, "text/plain", null, null, keepAlive);
+        write(BufferedResponse.text(status, text), keepAlive);
     }
 
-    /**
-     * Writes the response to the request that is being served.
-     *
-     * @param contentType the content type, or null to send none
-     * @param extraName the name of an additional header, which is omitted if {@code extraValue} is null
-     * @param keepAlive whether the client allows the connection to stay open
-     */
-    void write(
-            HttpResponseStatus status,
-            ByteBuf body,
-            String contentType,
-            String extraName,
-            String extraValue,
-            boolean keepAlive) {
+    /** Writes the response to the request that is being served; {@code keepAlive}: as the client wants it. */
+    void write(BufferedResponse response, boolean keepAlive) {
         endRequest();
         boolean keepOpen = mayKeepOpen(keepAlive);
-        onResponseWritten(writer.write(status, body, contentType, extraName, extraValue, keepOpen), keepOpen);
+        onResponseWritten(writer.write(response, keepOpen), keepOpen);
     }
 
     /** Forwards a streamed response as it arrives; {@code chunked}: the client supports chunked encoding. */
@@ -369,7 +354,8 @@
 
     // Requests behind this one are answered before a process that is stopping closes the connection.
     private boolean mayKeepOpen(boolean keepAlive) {
-        boolean requestsBehind = rejection != null || !pipelinedRequests.isEmpty() || receiving && upload == null;
+        boolean requestsBehind =
+                rejection.hasBegun() || !pipelinedRequests.isEmpty() || receiving && !upload.isArriving();
         return keepAlive && (!requestHandler.isStopping() || requestsBehind);
     }
 
@@ -377,20 +363,20 @@
         download = null;
     }
 
-    /** Called when a part of a response has been written to the socket. */
+    /** Called when a part has been written to the socket. */
     void onWritten() {
         timeouts.onWritten(System.nanoTime());
     }
 
     private void endRequest() {
-        uploadAnswered |= servedRequest.hasBody(upload);
+        upload.responseBegins(servedRequest);
         servedRequest.end();
     }
 
     /** Called when the last byte of a response has been passed to the channel. */
     void onResponseWritten(ChannelFuture written, boolean keepOpen) {
         written.addListener(done -> onWritten());
-        if (upload == null) {
+        if (!upload.isArriving()) {
             timeouts.startPhase();
         }
         if (keepOpen) {
@@ -403,7 +389,7 @@
 
     private void endAfter(ChannelFuture lastWrite) {
         state = ResponseState.ENDING;
-        if (rejection == null && upload == null) {
+        if (!rejection.hasBegun() && !upload.isArriving()) {
             lastWrite.addListener(ChannelFutureListener.CLOSE);
         } else {
             // Closing the socket with unread bytes would reset the connection before the client has read the response.
--- a/balancer/src/main/java/loadbalancer/http/ClientRequestHandler.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientRequestHandler.java
@@ -86,13 +86,13 @@
 
     private void respondAsUpstream(ClientConnection client, HttpRequest head) {
         boolean declined = warmUp.declines();
-        client.write(
+        BufferedResponse response = new BufferedResponse(
                 declined ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK,
                 Unpooled.wrappedBuffer(new byte[WARM_UP_BODY_BYTES]),
                 null,
                 declined ? HeaderNames.DECLINED : HeaderNames.LOAD_REPORT,
-                declined ? "1" : WARM_UP_LOAD_REPORT,
-                HttpUtil.isKeepAlive(head));
+                declined ? "1" : WARM_UP_LOAD_REPORT);
+        client.write(response, HttpUtil.isKeepAlive(head));
     }
 
     private void respondToCheck(ClientConnection client, HttpRequest head) {
@@ -127,8 +127,9 @@
         }
         RequestHandler handler = warmUpRequest ? warmUp.requestHandler() : requestHandler;
         if (handler.isOpen(request.id())) {
-            // An upstream could not distinguish the two requests, and might send the response to one for the other.
-            client.reject(HttpResponseStatus.CONFLICT, "a request with this Req-Id is open");
+            // An upstream could not distinguish the two requests, and might send the response to one for the other. Or
+            // the request has been sent for a client that has left, and might run twice.
+            client.reject(HttpResponseStatus.CONFLICT, "a request with this Req-Id is open or may have run");
             return;
         }
         HttpClientResponder responder = new HttpClientResponder(
--- a/balancer/src/main/java/loadbalancer/http/HttpClientResponder.java
+++ b/balancer/src/main/java/loadbalancer/http/HttpClientResponder.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import loadbalancer.dispatch.ClientResponder;
 import loadbalancer.transport.UpstreamResponse;
@@ -34,11 +33,12 @@
             return;
         }
         client.write(
-                HttpResponseStatus.OK,
-                Unpooled.wrappedBuffer(response.body()),
-                response.contentType(),
-                null,
-                null,
+                new BufferedResponse(
+                        HttpResponseStatus.OK,
+                        Unpooled.wrappedBuffer(response.body()),
+                        response.contentType(),
+                        null,
+                        null),
                 keepAlive);
     }
 
@@ -48,11 +48,11 @@
         String retryAfterSeconds =
                 retryAfterMicros <= 0 ? null : String.format(Locale.ROOT, "%.3f", retryAfterMicros / MICROS_PER_SECOND);
         client.write(
-                HttpResponseStatus.SERVICE_UNAVAILABLE,
-                Unpooled.copiedBuffer("refused: trying again is harmless\n", StandardCharsets.UTF_8),
-                "text/plain",
-                "Retry-After",
-                retryAfterSeconds,
+                BufferedResponse.text(
+                        HttpResponseStatus.SERVICE_UNAVAILABLE,
+                        "refused: trying again is harmless",
+                        "Retry-After",
+                        retryAfterSeconds),
                 keepAlive);
     }
 
--- a/balancer/src/main/java/loadbalancer/http/ResponseWriter.java
+++ b/balancer/src/main/java/loadbalancer/http/ResponseWriter.java
@@ -1,6 +1,5 @@
 package loadbalancer.http;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -37,29 +36,20 @@
         return outbound != null && outbound.totalPendingWriteBytes() > 0;
     }
 
-    /**
-     * Writes and flushes a response.
-     *
-     * @param contentType the content type, or null to send none
-     * @param extraName the name of an additional header, which is omitted if {@code extraValue} is null
-     */
-    ChannelFuture write(
-            HttpResponseStatus status,
-            ByteBuf body,
-            String contentType,
-            String extraName,
-            String extraValue,
-            boolean keepAlive) {
-        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
-        setContentType(response, contentType);
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
-        if (extraValue != null) {
-            response.headers().set(extraName, extraValue);
+    /** Writes and flushes a response. */
+    ChannelFuture write(BufferedResponse response, boolean keepAlive) {
+        FullHttpResponse message =
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, response.status(), response.body());
+        int bodyBytes = response.body().readableBytes();
+        setContentType(message, response.contentType());
+        message.headers().set(HttpHeaderNames.CONTENT_LENGTH, bodyBytes);
+        if (response.extraValue() != null) {
+            message.headers().set(response.extraName(), response.extraValue());
         }
-        setConnection(response, keepAlive);
-        int heldBytes = HEAD_BYTES + body.readableBytes();
+        setConnection(message, keepAlive);
+        int heldBytes = HEAD_BYTES + bodyBytes;
         memory.reserve(heldBytes);
-        return channel.writeAndFlush(response).addListener(written -> memory.release(heldBytes));
+        return channel.writeAndFlush(message).addListener(written -> memory.release(heldBytes));
     }
 
     /** Asks the client to send the body of its request. */
--- a/balancer/src/main/java/loadbalancer/process/BalancerProcess.java
+++ b/balancer/src/main/java/loadbalancer/process/BalancerProcess.java
@@ -23,6 +23,7 @@
 import loadbalancer.discovery.Membership;
 import loadbalancer.discovery.SubsetFailover;
 import loadbalancer.dispatch.RequestDispatcher;
+import loadbalancer.dispatch.UnansweredIds;
 import loadbalancer.drain.OperatorDrains;
 import loadbalancer.http.ClientListener;
 import loadbalancer.http.UnreadTimeEstimator;
@@ -48,6 +49,7 @@
     private final NioEventLoopGroup group =
             new NioEventLoopGroup(1, (Executor) null, SelectorProvider.provider(), unreadTime);
     private final EventLoop loop = group.next();
+    private final UnansweredIds unansweredIds = new UnansweredIds();
     private final Platform platform;
     private final boolean warmsUp;
     private final DiscoveryClient discovery;
@@ -99,7 +101,7 @@
         this.log = log;
         DescriptorBudget descriptors = new DescriptorBudget(config.maxDescriptors());
         LoadBalancingPolicy policy = policies.apply(config.boot().policySettings(), config.seed());
-        RequestDispatcher dispatcher = new RequestDispatcher(loop, config.boot(), policy, log);
+        RequestDispatcher dispatcher = new RequestDispatcher(loop, config.boot(), policy, log, unansweredIds);
         MemoryBudgets memory = MemoryBudgets.create();
         UpstreamConnectionPool upstreams =
                 new UpstreamConnectionPool(loop, config.boot(), descriptors, memory.responses(), dispatcher::nowMicros);
@@ -129,14 +131,14 @@
                         descriptors,
                         memory,
                         dispatcher,
+                        unansweredIds,
                         upstreams,
                         clients,
                         membership,
                         discovery,
                         pools),
                 log);
-        handover = new HandoverParticipant(
-                loop, platform.handoverDirectory(), pools, descriptors, reconfiguration::settings, log);
+        handover = createHandover(descriptors);
         readiness = new Readiness(warmsUp, this::serveClients);
         shutdown = new GracefulShutdown(
                 loop, clients, pools, platform.listener() != null, this::closeListeners, handover::close);
@@ -144,6 +146,11 @@
         admin = new AdminListener(loop, operatorCalls);
     }
 
+    private HandoverParticipant createHandover(DescriptorBudget descriptors) {
+        return new HandoverParticipant(
+                loop, platform.handoverDirectory(), pools, descriptors, unansweredIds, reconfiguration::settings, log);
+    }
+
     private DiscoveryClient createDiscovery(
             BalancerConfig config, EndpointSubset subset, RequestDispatcher dispatcher) {
         return new DiscoveryClient(
--- a/balancer/src/main/java/loadbalancer/process/HandoverParticipant.java
+++ b/balancer/src/main/java/loadbalancer/process/HandoverParticipant.java
@@ -2,10 +2,12 @@
 
 import io.netty.channel.EventLoop;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import loadbalancer.dispatch.UnansweredIds;
 import loadbalancer.handover.HandoverDocument;
 import loadbalancer.handover.HandoverFormatException;
 import loadbalancer.handover.HandoverLink;
@@ -33,6 +35,7 @@
     private final HandoverLink link;
     private final BalancerPools pools;
     private final DescriptorBudget descriptors;
+    private final UnansweredIds unansweredIds;
     private final Supplier<BootSettings> settings;
     private final Log log;
     private Future<?> descriptorReports; // null while no other process is connected
@@ -48,14 +51,27 @@
             Path directory,
             BalancerPools pools,
             DescriptorBudget descriptors,
+            UnansweredIds unansweredIds,
             Supplier<BootSettings> settings,
             Log log) {
         this.loop = loop;
         this.pools = pools;
         this.descriptors = descriptors;
+        this.unansweredIds = unansweredIds;
         this.settings = settings;
         this.log = log;
         link = new HandoverLink(loop, directory, this, log::info);
+        unansweredIds.setListener(new UnansweredIds.Listener() {
+            @Override
+            public void sent(long idHash) {
+                link.sendToPeer(new HandoverMessage.RequestsSent(List.of(idHash)));
+            }
+
+            @Override
+            public void settled(long idHash) {
+                link.sendToPeer(new HandoverMessage.RequestSettled(idHash));
+            }
+        });
     }
 
     /**
@@ -131,11 +147,19 @@
             descriptors.setUsedByPeer(inUse.count() + OTHER_DESCRIPTORS);
         } else if (message instanceof HandoverMessage.ServingNotice) {
             pools.setSlowStartFraction(SHARED_FRACTION);
+        } else if (message instanceof HandoverMessage.RequestsSent sent) {
+            sent.idHashes().forEach(unansweredIds::sentElsewhere);
+        } else if (message instanceof HandoverMessage.RequestSettled settled) {
+            unansweredIds.settledElsewhere(settled.idHash());
         }
     }
 
     @Override
     public void peerPresent(boolean present) {
+        List<Long> unanswered = unansweredIds.all();
+        if (present && !unanswered.isEmpty()) {
+            link.sendToPeer(new HandoverMessage.RequestsSent(unanswered));
+        }
         if (present && descriptorReports == null) {
             descriptorReports = loop.scheduleWithFixedDelay(
                     () -> link.sendToPeer(new HandoverMessage.DescriptorsInUse(descriptors.openConnections())),
--- a/balancer/src/main/java/loadbalancer/process/Reconfiguration.java
+++ b/balancer/src/main/java/loadbalancer/process/Reconfiguration.java
@@ -7,6 +7,7 @@
 import loadbalancer.discovery.DiscoveryClient;
 import loadbalancer.discovery.Membership;
 import loadbalancer.dispatch.RequestDispatcher;
+import loadbalancer.dispatch.UnansweredIds;
 import loadbalancer.http.ClientListener;
 import loadbalancer.logs.Log;
 import loadbalancer.logs.Slf4jProvider;
@@ -35,6 +36,7 @@
             DescriptorBudget descriptors,
             MemoryBudgets memory,
             RequestDispatcher dispatcher,
+            UnansweredIds unansweredIds,
             UpstreamConnectionPool upstreams,
             ClientListener clients,
             Membership membership,
@@ -160,6 +162,7 @@
                 components.descriptors,
                 components.memory.responses(),
                 components.clients::closeLeastNeeded,
+                components.unansweredIds,
                 log);
         return new RoutingGateway(
                 new SitePool(components.dispatcher, components.membership),
--- a/balancer/src/main/java/loadbalancer/routing/PoolEnvironment.java
+++ b/balancer/src/main/java/loadbalancer/routing/PoolEnvironment.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.util.function.BiFunction;
 import java.util.function.BooleanSupplier;
+import loadbalancer.dispatch.UnansweredIds;
 import loadbalancer.logs.Log;
 import loadbalancer.policy.LoadBalancingPolicy;
 import loadbalancer.policy.PolicySettings;
@@ -19,6 +20,7 @@
  * @param responseMemory the process's limit on the heap of the responses that are being read
  * @param closeIdleClientConnection closes an idle client connection to free its descriptor; returns false if none is
  *     idle
+ * @param unansweredIds the ids of requests that may not run again
  */
 public record PoolEnvironment(
         EventLoop loop,
@@ -28,4 +30,5 @@
         ConnectionBudget connectionBudget,
         MemoryBudget responseMemory,
         BooleanSupplier closeIdleClientConnection,
+        UnansweredIds unansweredIds,
         Log log) {}
--- a/balancer/src/main/java/loadbalancer/routing/UpstreamPool.java
+++ b/balancer/src/main/java/loadbalancer/routing/UpstreamPool.java
@@ -49,7 +49,11 @@
         Log log = line -> environment.log().info("pool " + spec.name() + ": " + line);
         long seed = environment.seed() ^ TrafficSplit.hash(spec.name());
         dispatcher = new RequestDispatcher(
-                environment.loop(), settings, environment.policyFactory().apply(settings.policySettings(), seed), log);
+                environment.loop(),
+                settings,
+                environment.policyFactory().apply(settings.policySettings(), seed),
+                log,
+                environment.unansweredIds());
         upstreams = new UpstreamConnectionPool(
                 environment.loop(), settings, connectionBudget, environment.responseMemory(), dispatcher::nowMicros);
         upstreams.setReclaimer(() -> upstreams.closeLongestIdle()
--- a/balancer/src/main/java/loadbalancer/transport/BodyStream.java
+++ b/balancer/src/main/java/loadbalancer/transport/BodyStream.java
@@ -91,6 +91,11 @@
         return complete;
     }
 
+    /** Returns whether the source is not read, and the body has no sink yet. */
+    public boolean isWaitingUnread() {
+        return paused && !consumed;
+    }
+
     /** Returns for how long no data has arrived while the source was read; 0 while it is not read. */
     public long stalledNanos(long nowNanos) {
         return paused || closed || complete ? 0 : nowNanos - progressAtNanos;
--- a/balancer/src/main/java/loadbalancer/upstream/ReuseCheck.java
+++ b/balancer/src/main/java/loadbalancer/upstream/ReuseCheck.java
@@ -6,8 +6,8 @@
 import loadbalancer.transport.UpstreamResponse;
 
 /**
- * Whether one connection to an upstream may carry the next request. A response of HTTP/1.1 does not say which request it
- * belongs to, so bytes that an upstream sends behind a response would be taken for the response to the next request,
+ * Whether one connection to an upstream may carry the next request. A response of HTTP/1.1 does not say which request
+ * it belongs to, so bytes that an upstream sends behind a response would be taken for the response to the next request,
  * however late they come: the time since the response proves nothing.
  *
  * <p>What proves something is the order of the bytes on a connection. Behind each response a health check is sent, and
--- a/balancer/src/test/java/loadbalancer/process/AttemptOutcomeTest.java
+++ b/balancer/src/test/java/loadbalancer/process/AttemptOutcomeTest.java
@@ -114,6 +114,32 @@
         assertTrue(received.awaitClosedByPeer());
     }
 
+    /** Guards against a booking that runs again, as its client has left and comes again with the same id. */
+    @ParameterizedTest
+    @CsvSource({"false,409", "true,200"})
+    void anIdThatMayHaveRunForAGoneClientIsNotSentAgain(boolean neverRan, int status) throws Exception {
+        start();
+        String booking = post("book", "Req-Deadline-Ms: 20000\r\n", "one seat");
+        Client gone = new Client(listenAddress).send(booking);
+        FakeUpstream.ReceivedRequest received = upstream.nextRequest();
+        if (neverRan) {
+            policy.cancelsForGoneClients = false;
+        }
+        gone.close();
+        assertEquals("client gone", policy.nextEvent());
+        if (neverRan) {
+            received.respond(503, "Srv-Declined: 1\r\n", "");
+        }
+        assertEquals(neverRan ? "FULL closed" : "CANCELLED closed", policy.nextEvent());
+        try (Client again = new Client(listenAddress).send(booking)) {
+            if (neverRan) {
+                upstream.nextRequest().respond(200, "", "booked");
+            }
+            assertEquals(status, again.readStatus());
+        }
+        assertTrue(upstream.isEmpty());
+    }
+
     @Test
     void aRequestThatThePolicyNeverAnswersGetsTheLastResortResponse() throws IOException, InterruptedException {
         start();
--- a/balancer/src/test/java/loadbalancer/process/HandoverParticipantTest.java
+++ b/balancer/src/test/java/loadbalancer/process/HandoverParticipantTest.java
@@ -22,6 +22,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** A process replaces another, and both share one listening socket for clients. */
 class HandoverParticipantTest extends BalancerFixture {
@@ -172,6 +174,41 @@
         balancer = null;
     }
 
+    /** Guards against a booking that runs twice, as it comes to the other process while the first one has it. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void anIdThatOneProcessHasSentIsNotSentByTheOther(boolean sentBeforeTheHandover) throws Exception {
+        balancer = startProcess(policy);
+        awaitHandoverSocket();
+        if (!sentBeforeTheHandover) {
+            successor = startProcess(successorPolicy);
+        }
+        String booking = post("book", "Req-Deadline-Ms: 20000\r\n", "one seat");
+        try (Client client = new Client(listenAddress).send(booking)) {
+            FakeUpstream.ReceivedRequest received = upstream.nextRequest();
+            if (sentBeforeTheHandover) {
+                successor = startProcess(successorPolicy);
+                assertEquals("LOCAL_OVERRIDE [s1=UP]", successorPolicy.nextEvent());
+            }
+            boolean atPredecessor = !policy.requests.isEmpty();
+            BalancerProcess first = atPredecessor ? balancer : successor;
+            Thread stop = new Thread(first::stop); // the other one accepts all connections from now on
+            stop.start();
+            while (first.operatorActions().notReadyReason() == null) {
+                TimeUnit.MILLISECONDS.sleep(5);
+            }
+            try (Client again = new Client(listenAddress).send(booking)) {
+                assertEquals(409, again.readStatus());
+            }
+            received.respond(200, "", "booked");
+            assertEquals(200, client.readStatus());
+            stop.join();
+            balancer = atPredecessor ? null : balancer;
+            successor = atPredecessor ? successor : null;
+        }
+        assertTrue(upstream.isEmpty(), "the booking was sent twice");
+    }
+
     @Test
     void aSocketLeftByADeadProcessIsReplaced() throws Exception {
         Files.writeString(directory.resolve("handover.sock"), "left behind");
