Let a response that has begun go on, and count a deadline from when the client has sent

Cause: the policy's time-out of an attempt, which is for waiting work, ran until the response was complete or streamed, and streaming began with the body. And an own socket that a read after a pause had left empty was taken for proof that the client had not sent the rest, which waited in the client's socket.

Change: the time-out ends with the head of a successful response; large responses are forwarded from their heads on. After a pause an empty socket proves something only if it stays empty for 50 ms. Clients count as idle, or as having their last response, from when the socket has taken it, and what sockets may hold counts for clients that read slowly.

--- a/balancer/src/main/java/loadbalancer/dispatch/Attempt.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/Attempt.java
@@ -12,6 +12,7 @@
     private final long permittedUntilMicros; // its last byte may not be written later
     UpstreamCall call; // null until the attempt has been passed to the connection pool
     Future<?> timeoutTimer;
+    boolean responseBegun; // from then on only the deadline limits the attempt
     boolean ended;
 
     Attempt(OpenRequest openRequest, int number, long sentAtMicros, long timeoutMicros, long permittedMicros) {
--- a/balancer/src/main/java/loadbalancer/dispatch/AttemptRunner.java
+++ b/balancer/src/main/java/loadbalancer/dispatch/AttemptRunner.java
@@ -80,6 +80,11 @@
                 return !attempt.ended && !openRequest.closed && timeLeftMicros(attempt) > 0;
             }
 
+            @Override
+            public void onResponseBegun() {
+                attempt.responseBegun = true;
+            }
+
             @Override
             public void onEnd(AttemptOutcome outcome, UpstreamResponse response, LoadReport load) {
                 end(attempt, outcome, response, load);
@@ -111,7 +116,7 @@
 
     private void timeoutTimerExpired(Attempt attempt) {
         if (timeLeftMicros(attempt) > 0) {
-            scheduleTimeout(attempt); // more of the body has arrived, or the request has been written
+            scheduleTimeout(attempt); // more of the body has arrived, it has been written, or the response has begun
         } else {
             boolean sending = attempt.call != null && attempt.call.isSending();
             abandon(attempt, AttemptOutcome.TIMEOUT, sending ? AttemptOutcome.CONNECT_FAILED : AttemptOutcome.NOT_SENT);
@@ -122,7 +127,7 @@
         OpenRequest openRequest = attempt.openRequest;
         long nowMicros = clock.nowMicros();
         long timeLeftMicros = Math.min(attempt.permittedMicros(nowMicros), timeLeftMicros(openRequest, nowMicros));
-        if (attempt.timeoutMicros == 0 || !openRequest.isBodyComplete()) {
+        if (attempt.timeoutMicros == 0 || attempt.responseBegun || !openRequest.isBodyComplete()) {
             return timeLeftMicros;
         }
         long startMicros = Math.max(attempt.sentAtMicros, openRequest.completeAtMicros);
--- a/balancer/src/main/java/loadbalancer/http/ClientConnection.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientConnection.java
@@ -78,9 +78,7 @@
 
     /** Returns for how long no request has been arriving, waiting or being served; -1 if there is one. */
     long idleNanos(long nowNanos) {
-        return state != ResponseState.IDLE || receiving || !pipelinedRequests.isEmpty()
-                ? -1
-                : timeouts.phaseNanos(nowNanos);
+        return hasPendingResponse() || receiving || !pipelinedRequests.isEmpty() ? -1 : timeouts.phaseNanos(nowNanos);
     }
 
     /** Returns for how long no data has arrived for an incomplete request; 0 if no request is arriving. */
@@ -103,17 +101,14 @@
         channel.close();
     }
 
-    /**
-     * Rejects the request that is arriving, as the process is stopping. It has not run: its last byte has not arrived,
-     * so it has not been written to an upstream either, even if the body is streamed.
-     */
+    /** Rejects the request that is arriving, as the process is stopping: without its last byte it can't have run. */
     void rejectIncomplete() {
         if (receiving && !upload.isAnswered() && state != ResponseState.ENDING) {
             rejectArriving(STOPPING_REASON);
         }
     }
 
-    // A request in service is answered at once, and the rest of its body is read and discarded as for any answer.
+    // The rest of a body in service is read and discarded, as behind any response.
     private void rejectArriving(String reason) {
         if (servedRequest.hasBody(upload.body())) {
             servedRequest.abandon();
@@ -126,7 +121,7 @@
     /** Closes the connection, or rejects the request that is arriving, if a timeout has expired. */
     void checkTimeouts(long nowNanos) {
         if (state == ResponseState.ENDING) {
-            if (timeouts.isLingerOver(nowNanos)) {
+            if (!writer.hasUnwrittenBytes() && timeouts.isLingerOver(nowNanos)) {
                 close();
             }
         } else if (isReceiveOverdue(nowNanos)) {
@@ -219,8 +214,7 @@
     public void onRequest(HttpRequest head, int headBytes, byte[] body) {
         receiving = false;
         hasRequested = true;
-        // If a client pipelines too many requests, the further ones are rejected, but its connection is still read:
-        // otherwise a disconnect would not be noticed, and the waiting requests would be forwarded for no client.
+        // Past the limit the connection is still read, or else a disconnect would not be noticed.
         if (pipelinedRequests.isFull(state == ResponseState.SCHEDULED ? 1 : 0)) {
             onInvalidRequest(HttpResponseStatus.BAD_REQUEST, "too many requests sent ahead");
         } else {
@@ -293,9 +287,8 @@
         }
     }
 
-    // The next request is served in a separate task: with a direct call, many pipelined requests that get immediate
-    // responses could overflow the stack and delay all other clients. Also, a disconnect right after the request has
-    // been read by then, so that nothing is forwarded for a client that has left.
+    // In a separate task: with a direct call, many pipelined requests that get immediate responses could overflow the
+    // stack. Also, a disconnect right after the request has been read by then, so that nothing is forwarded for nobody.
     private void scheduleNext() {
         if (state == ResponseState.IDLE && (rejection.hasBegun() || !pipelinedRequests.isEmpty())) {
             state = ResponseState.SCHEDULED;
@@ -324,7 +317,7 @@
 
     // ---- responses
 
-    /** Sets a listener that runs if the client disconnects before its pending response. */
+    /** See {@link ServedRequest#setDisconnectListener}. */
     void setDisconnectListener(Runnable listener) {
         servedRequest.setDisconnectListener(listener);
     }
@@ -350,9 +343,10 @@
         writer.writeHead(response, chunked, keepOpen);
         download = body;
         body.forwardTo(new ResponseBodyWriter(this, channel, delimited, keepOpen));
+        channel.flush(); // the head, if nothing of the body has arrived
     }
 
-    // Requests behind this one are answered before a process that is stopping closes the connection.
+    // Requests behind this one are answered before a stopping process closes the connection.
     private boolean mayKeepOpen(boolean keepAlive) {
         boolean requestsBehind =
                 rejection.hasBegun() || !pipelinedRequests.isEmpty() || receiving && !upload.isArriving();
@@ -363,9 +357,9 @@
         download = null;
     }
 
-    /** Called when a part has been written to the socket. */
-    void onWritten() {
-        timeouts.onWritten(System.nanoTime());
+    /** Called when a part has been written to the socket, with {@code bytes} of a streamed body. */
+    void onWritten(int bytes) {
+        timeouts.onWritten(System.nanoTime(), bytes);
     }
 
     private void endRequest() {
@@ -375,10 +369,7 @@
 
     /** Called when the last byte of a response has been passed to the channel. */
     void onResponseWritten(ChannelFuture written, boolean keepOpen) {
-        written.addListener(done -> onWritten());
-        if (!upload.isArriving()) {
-            timeouts.startPhase();
-        }
+        written.addListener(done -> onResponseTaken());
         if (keepOpen) {
             state = ResponseState.IDLE;
             scheduleNext();
@@ -387,14 +378,23 @@
         }
     }
 
+    private void onResponseTaken() {
+        onWritten(0);
+        if (!upload.isArriving() && !receiving) {
+            timeouts.startPhase();
+        }
+    }
+
     private void endAfter(ChannelFuture lastWrite) {
         state = ResponseState.ENDING;
         if (!rejection.hasBegun() && !upload.isArriving()) {
             lastWrite.addListener(ChannelFutureListener.CLOSE);
         } else {
             // Closing the socket with unread bytes would reset the connection before the client has read the response.
-            timeouts.startPhase();
-            lastWrite.addListener(done -> ((DuplexChannel) channel).shutdownOutput());
+            lastWrite.addListener(done -> {
+                timeouts.startPhase();
+                ((DuplexChannel) channel).shutdownOutput();
+            });
         }
     }
 }
--- a/balancer/src/main/java/loadbalancer/http/ClientTimeouts.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientTimeouts.java
@@ -14,6 +14,11 @@
     private static final long FIRST_REQUEST_NANOS = TimeUnit.MILLISECONDS.toNanos(2_200);
     private static final long IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(5_000); // between two requests
     private static final long LINGER_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000); // after the last response
+    /** The most bytes that the sockets of both sides hold together. */
+    private static final long MAX_SOCKET_BYTES = 8 << 20;
+    /** A client reads from its own socket at this rate at least; half of what clients may be as slow as. */
+    private static final long MIN_CLIENT_BYTES_PER_SECOND = 32_000;
+
     private static final long STALL_NANOS = TimeUnit.MILLISECONDS.toNanos(20_000); // of a response, on either side
     /** A streamed response moves at this rate on average, after the first {@link #STALL_NANOS}. */
     private static final long MIN_RESPONSE_BYTES_PER_SECOND = 16_000;
@@ -21,6 +26,7 @@
     private long phaseStartNanos = System.nanoTime(); // a phase is receiving a request, idling or lingering
     private long lastReadNanos;
     private long receivedBytes; // of the request that is arriving
+    private long writtenBytes; // to the socket, of streamed responses
     private long lastWriteNanos = phaseStartNanos; // or the last check at which nothing waited to be written
 
     void startPhase() {
@@ -70,16 +76,22 @@
                 || response.elapsedNanos(nowNanos) > STALL_NANOS + allowedNanos;
     }
 
-    /** Called when a part of a response has been written to the socket. */
-    void onWritten(long nowNanos) {
+    /** Called when a part of a response has been written to the socket, with {@code bytes} of a streamed body. */
+    void onWritten(long nowNanos, int bytes) {
         lastWriteNanos = nowNanos;
+        writtenBytes += bytes;
     }
 
-    /** Returns whether the client has taken nothing for too long; {@code waiting}: bytes wait to be written. */
+    /**
+     * Returns whether the client has taken nothing for too long; {@code waiting}: bytes wait to be written. A client
+     * that reads slowly reads first what the sockets hold, and the balancer's socket may take nothing meanwhile.
+     */
     boolean isWriteStalled(long nowNanos, boolean waiting) {
         if (!waiting) {
             lastWriteNanos = nowNanos;
         }
-        return nowNanos - lastWriteNanos > STALL_NANOS;
+        long heldBytes = Math.min(writtenBytes, MAX_SOCKET_BYTES);
+        long allowedNanos = TimeUnit.SECONDS.toNanos(heldBytes) / MIN_CLIENT_BYTES_PER_SECOND;
+        return nowNanos - lastWriteNanos > STALL_NANOS + allowedNanos;
     }
 }
--- a/balancer/src/main/java/loadbalancer/http/ResponseBodyWriter.java
+++ b/balancer/src/main/java/loadbalancer/http/ResponseBodyWriter.java
@@ -26,7 +26,8 @@
 
     @Override
     public void onData(ByteBuf bytes) {
-        channel.writeAndFlush(new DefaultHttpContent(bytes)).addListener(done -> connection.onWritten());
+        int count = bytes.readableBytes();
+        channel.writeAndFlush(new DefaultHttpContent(bytes)).addListener(done -> connection.onWritten(count));
     }
 
     @Override
--- a/balancer/src/main/java/loadbalancer/transport/BodyStream.java
+++ b/balancer/src/main/java/loadbalancer/transport/BodyStream.java
@@ -140,7 +140,7 @@
     /** Called when a read has left the socket of the source empty. */
     public void drained() {
         if (!complete && !paused) {
-            lastByte.drained();
+            lastByte.drained(System.nanoTime());
         }
     }
 
--- a/balancer/src/main/java/loadbalancer/upstream/ResponseReader.java
+++ b/balancer/src/main/java/loadbalancer/upstream/ResponseReader.java
@@ -42,6 +42,9 @@
         /** The connection is invalid: no further response can be read from it. */
         void onInvalidResponse();
 
+        /** The head of a successful response has arrived; its body follows, perhaps slowly. */
+        void onSuccessfulHead();
+
         /** Returns whether a response may be forwarded before it is complete. */
         boolean acceptsStreaming();
 
@@ -111,7 +114,7 @@
             return;
         }
         if (part instanceof HttpResponse response) {
-            readHead(response);
+            readHead(context, response);
         }
         if (!invalid && part instanceof HttpContent content) {
             boolean last = part instanceof LastHttpContent;
@@ -134,7 +137,7 @@
         }
     }
 
-    private void readHead(HttpResponse response) {
+    private void readHead(ChannelHandlerContext context, HttpResponse response) {
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             inInformationalResponse = true;
             if (++informationalCount > MAX_INFORMATIONAL_RESPONSES
@@ -158,11 +161,33 @@
         long maxBytes = mayStream() ? BodyLimits.MAX_STREAMED_BYTES : BodyLimits.MAX_BUFFERED_BYTES;
         if (!delimited || declaredLengthBytes > maxBytes) {
             invalidate();
+        } else if (isSuccessful()) {
+            listener.onSuccessfulHead();
+            streamAsSoonAsPossible(context);
+        }
+    }
+
+    // A large response is forwarded from its head on, as its body may come late. Whether a response of unknown length
+    // is
+    // large shows only later: it is forwarded if it does not arrive completely within a short time.
+    private void streamAsSoonAsPossible(ChannelHandlerContext context) {
+        if (!mayStream()) {
+            return;
         }
+        if (declaredLengthBytes > BodyLimits.MAX_BUFFERED_BYTES) {
+            startStreaming(context, Unpooled.EMPTY_BUFFER);
+        } else if (declaredLengthBytes < 0) {
+            streamingTimer = context.executor()
+                    .schedule(() -> streamIfIncomplete(context), STREAMING_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private boolean isSuccessful() {
+        return head.status().code() == HttpResponseStatus.OK.code();
     }
 
     private boolean mayStream() {
-        return head.status().code() == HttpResponseStatus.OK.code() && listener.acceptsStreaming();
+        return isSuccessful() && listener.acceptsStreaming();
     }
 
     private void readStreamed(ByteBuf more, boolean last) {
@@ -176,22 +201,15 @@
     }
 
     private void readBuffered(ChannelHandlerContext context, ByteBuf more, boolean last) {
-        boolean streamable = mayStream();
-        boolean tooLarge = declaredLengthBytes > BodyLimits.MAX_BUFFERED_BYTES && more.isReadable();
-        if (streamable && tooLarge || !tryBuffer(more)) {
-            if (streamable) {
-                startStreaming(context, more);
-                streamComplete = last;
-            } else {
-                invalidate();
+        if (tryBuffer(more)) {
+            if (last) {
+                completeBuffered();
             }
-            return;
-        }
-        if (last) {
-            completeBuffered();
-        } else if (streamable && declaredLengthBytes < 0 && body.lengthBytes() > 0 && streamingTimer == null) {
-            streamingTimer = context.executor()
-                    .schedule(() -> streamIfIncomplete(context), STREAMING_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+        } else if (mayStream()) {
+            startStreaming(context, more);
+            streamComplete = last;
+        } else {
+            invalidate();
         }
     }
 
--- a/balancer/src/main/java/loadbalancer/upstream/UpstreamCall.java
+++ b/balancer/src/main/java/loadbalancer/upstream/UpstreamCall.java
@@ -13,6 +13,9 @@
         /** {@code response} is null if there is none, {@code load} if there is no load report. */
         void onEnd(AttemptOutcome outcome, UpstreamResponse response, LoadReport load);
 
+        /** Called when the head of a successful response has arrived, whose body may come late or slowly. */
+        default void onResponseBegun() {}
+
         /**
          * Returns whether the request may still be sent. Asked right before its first byte is written, as it may have
          * waited for a connection; if not, the call ends as {@link AttemptOutcome#NOT_SENT}.
@@ -70,6 +73,10 @@
         return listener.maySend();
     }
 
+    void responseBegun() {
+        listener.onResponseBegun();
+    }
+
     boolean isProbe() {
         return timeoutMillis == PROBE_TIMEOUT_MILLIS;
     }
--- a/balancer/src/main/java/loadbalancer/upstream/UpstreamConnection.java
+++ b/balancer/src/main/java/loadbalancer/upstream/UpstreamConnection.java
@@ -309,6 +309,13 @@
         }
     }
 
+    @Override
+    public void onSuccessfulHead() {
+        if (call != null && progress == RequestProgress.SENT && !reuse.isChecking()) {
+            call.responseBegun();
+        }
+    }
+
     @Override
     public boolean acceptsStreaming() {
         return call != null && !call.isProbe() && !reuse.isChecking();
