Bound what is read of a connection in a turn by the work that it causes

Cause: a turn of the event loop reads up to 64 KiB of a connection, which are 10,900 chunks of a byte.

Change: ReadPacer counts the lines, heads and pieces that a connection's decoder makes; past 128 its turn ends, and the next read is as small as that work demands. Connections to upstreams have one too.

--- a/balancer/src/main/java/loadbalancer/http/ClientConnection.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientConnection.java
@@ -16,6 +16,7 @@
 import loadbalancer.transport.HeadMemory;
 import loadbalancer.transport.MemoryBudget;
 import loadbalancer.transport.MemoryBudgets;
+import loadbalancer.transport.ReadPacer;
 import loadbalancer.transport.UpstreamResponse;
 
 /**
@@ -52,7 +53,7 @@
         this.responseMemory = new ConnectionMemory(memory.responses());
         this.channel = channel;
         HeadMemory arrivingHead = new HeadMemory(headMemory);
-        ClientRequestDecoder decoder = new ClientRequestDecoder(arrivingHead);
+        ClientRequestDecoder decoder = new ClientRequestDecoder(arrivingHead, ReadPacer.attachTo(channel));
         this.reader = new RequestReader(this, bodyMemory, arrivingHead, headMemory);
         this.writer = new ResponseWriter(channel, responseMemory);
         this.pipelinedRequests = new PipelinedRequests(bodyMemory, headMemory);
@@ -165,8 +166,6 @@
         close();
     }
 
-    // ---- requests
-
     /** Called when bytes have arrived, before they are decoded. */
     void onRead(int bytes) {
         if (!receiving && state != ResponseState.ENDING) {
@@ -334,7 +333,7 @@
         onResponseWritten(writer.write(response, keepOpen), keepOpen);
     }
 
-    /** Forwards a streamed response as it arrives; {@code chunked}: the client supports chunked encoding. */
+    /** Forwards a streamed response as it arrives; {@code chunked}: the client supports that. */
     void stream(UpstreamResponse response, boolean keepAlive, boolean chunked) {
         endRequest();
         BodyStream body = response.streamedBody();
--- a/balancer/src/main/java/loadbalancer/http/ClientListener.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientListener.java
@@ -103,7 +103,6 @@
                         listener = channel;
                     }
                 })
-                .childOption(ChannelOption.RCVBUF_ALLOCATOR, ChannelBufferSettings.receiveBufferAllocator())
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, ChannelBufferSettings.WRITE_WATER_MARK)
                 .option(ChannelOption.AUTO_READ, accept);
     }
--- a/balancer/src/main/java/loadbalancer/http/ClientRequestDecoder.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientRequestDecoder.java
@@ -8,6 +8,7 @@
 import io.netty.util.AsciiString;
 import java.util.List;
 import loadbalancer.transport.HeadMemory;
+import loadbalancer.transport.ReadPacer;
 
 /**
  * Decodes clients' requests strictly: a request whose end two parsers could locate differently is an error, and so is
@@ -19,16 +20,19 @@
     private static final int MAX_HEADER_BYTES = 8 * 1024;
 
     private final HeadMemory headMemory;
+    private final ReadPacer pacer;
 
-    ClientRequestDecoder(HeadMemory headMemory) {
+    ClientRequestDecoder(HeadMemory headMemory, ReadPacer pacer) {
         super(new HttpDecoderConfig().setMaxInitialLineLength(MAX_LINE_BYTES).setMaxHeaderSize(MAX_HEADER_BYTES));
         this.headMemory = headMemory;
+        this.pacer = pacer;
     }
 
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> out) throws Exception {
         int readableBytes = bytes.readableBytes();
         super.decode(context, bytes, out);
+        pacer.decoded(out.size());
         headMemory.count(readableBytes - bytes.readableBytes(), out);
     }
 
@@ -40,6 +44,7 @@
 
     @Override
     protected AsciiString splitHeaderName(byte[] line, int start, int size) {
+        pacer.decoded(1);
         headMemory.lineDecoded();
         return super.splitHeaderName(line, start, size);
     }
--- a/balancer/src/main/java/loadbalancer/transport/ChannelBufferSettings.java
+++ b/balancer/src/main/java/loadbalancer/transport/ChannelBufferSettings.java
@@ -11,17 +11,19 @@
 
     private static final int MIN_READ_BYTES = 512;
     private static final int INITIAL_READ_BYTES = 2_048;
-    private static final int MAX_READ_BYTES = 16 << 10;
+    /** The most bytes of one read. */
+    static final int MAX_READ_BYTES = 16 << 10;
+
     private static final int MAX_READS_PER_ROUND = 4;
 
     private ChannelBufferSettings() {}
 
     /**
-     * Returns a new allocator for one bootstrap. Its limits keep one connection from occupying the event loop and the
+     * Returns a new allocator for one connection. Its limits keep one connection from occupying the event loop and the
      * memory alone. Within these limits a read continues until no data is left, so that a request and a disconnect
      * right after it are read together.
      */
-    public static RecvByteBufAllocator receiveBufferAllocator() {
+    static RecvByteBufAllocator receiveBufferAllocator() {
         return new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
                 .respectMaybeMoreData(false)
                 .maxMessagesPerRead(MAX_READS_PER_ROUND);
--- a/balancer/src/main/java/loadbalancer/upstream/ResponseReader.java
+++ b/balancer/src/main/java/loadbalancer/upstream/ResponseReader.java
@@ -22,6 +22,7 @@
 import loadbalancer.transport.ConnectionMemory;
 import loadbalancer.transport.HeadMemory;
 import loadbalancer.transport.MemoryBudget;
+import loadbalancer.transport.ReadPacer;
 import loadbalancer.transport.UpstreamResponse;
 
 /**
@@ -74,12 +75,12 @@
     private boolean streamComplete; // the last byte of the stream has arrived
     private Future<?> streamingTimer;
 
-    /** Creates a reader; what it holds of a response is counted against {@code memory}. */
-    ResponseReader(Listener listener, MemoryBudget memory) {
+    /** Creates a reader; what it holds of a response is counted against {@code memory}, its work by {@code pacer}. */
+    ResponseReader(Listener listener, MemoryBudget memory, ReadPacer pacer) {
         this.listener = listener;
         this.memory = new ConnectionMemory(memory);
         headMemory = new HeadMemory(this.memory);
-        decoder = new UpstreamResponseDecoder(this, headMemory);
+        decoder = new UpstreamResponseDecoder(this, headMemory, pacer);
     }
 
     ChannelHandler decoder() {
--- a/balancer/src/main/java/loadbalancer/upstream/UpstreamConnection.java
+++ b/balancer/src/main/java/loadbalancer/upstream/UpstreamConnection.java
@@ -13,6 +13,7 @@
 import loadbalancer.policy.AttemptOutcome;
 import loadbalancer.policy.LoadReport;
 import loadbalancer.transport.BodyStream;
+import loadbalancer.transport.ReadPacer;
 import loadbalancer.transport.UpstreamResponse;
 
 /**
@@ -33,6 +34,7 @@
     private final UpstreamConnector connector;
     private final UpstreamEndpoint endpoint;
     private final InetSocketAddress address; // the address of the endpoint when the connection was opened
+    private final ReadPacer pacer = new ReadPacer();
     private final ResponseReader reader;
     private Channel channel;
     private UpstreamCall call;
@@ -49,7 +51,7 @@
         this.connector = connector;
         this.endpoint = endpoint;
         this.address = endpoint.address();
-        this.reader = new ResponseReader(this, connector.responseMemory());
+        this.reader = new ResponseReader(this, connector.responseMemory(), pacer);
         assign(call);
     }
 
@@ -61,6 +63,7 @@
     // ---- opening
 
     void initialize(ChannelPipeline pipeline) {
+        pipeline.channel().config().setRecvByteBufAllocator(pacer);
         pipeline.addLast(new HttpRequestEncoder(), reader.decoder(), reader, new UpstreamConnectionHandler(this));
     }
 
--- a/balancer/src/main/java/loadbalancer/upstream/UpstreamConnector.java
+++ b/balancer/src/main/java/loadbalancer/upstream/UpstreamConnector.java
@@ -50,7 +50,6 @@
         bootstrap = (fixedAddress != null
                         ? new Bootstrap().channel(NioDomainSocketChannel.class)
                         : new Bootstrap().channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true))
-                .option(ChannelOption.RCVBUF_ALLOCATOR, ChannelBufferSettings.receiveBufferAllocator())
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, ChannelBufferSettings.WRITE_WATER_MARK)
                 .group(loop);
     }
--- a/balancer/src/main/java/loadbalancer/upstream/UpstreamResponseDecoder.java
+++ b/balancer/src/main/java/loadbalancer/upstream/UpstreamResponseDecoder.java
@@ -9,6 +9,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.List;
 import loadbalancer.transport.HeadMemory;
+import loadbalancer.transport.ReadPacer;
 
 /**
  * Decodes responses strictly: a response that two parsers could understand differently is an error. Placed directly
@@ -20,11 +21,13 @@
 
     private final ResponseReader reader;
     private final HeadMemory headMemory;
+    private final ReadPacer pacer;
 
-    UpstreamResponseDecoder(ResponseReader reader, HeadMemory headMemory) {
+    UpstreamResponseDecoder(ResponseReader reader, HeadMemory headMemory, ReadPacer pacer) {
         super(new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES));
         this.reader = reader;
         this.headMemory = headMemory;
+        this.pacer = pacer;
     }
 
     /** Returns whether bytes have been read that are not decoded as part of a response yet. */
@@ -46,6 +49,7 @@
     protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> out) throws Exception {
         int readableBytes = bytes.readableBytes();
         super.decode(context, bytes, out);
+        pacer.decoded(out.size());
         headMemory.count(readableBytes - bytes.readableBytes(), out);
     }
 
@@ -67,6 +71,7 @@
         if (start + size >= line.length || line[start + size] != ':') {
             throw new IllegalArgumentException("header line without a colon");
         }
+        pacer.decoded(1);
         headMemory.lineDecoded();
         return super.splitHeaderName(line, start, size);
     }
--- a/balancer/src/test/java/loadbalancer/http/RequestReaderTest.java
+++ b/balancer/src/test/java/loadbalancer/http/RequestReaderTest.java
@@ -22,6 +22,7 @@
 import loadbalancer.transport.ConnectionMemory;
 import loadbalancer.transport.HeadMemory;
 import loadbalancer.transport.MemoryBudget;
+import loadbalancer.transport.ReadPacer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -158,7 +159,7 @@
         ConnectionMemory connectionMemory = new ConnectionMemory(new MemoryBudget(MEMORY_BYTES));
         HeadMemory headMemory = new HeadMemory(connectionMemory);
         return new EmbeddedChannel(
-                new ClientRequestDecoder(headMemory),
+                new ClientRequestDecoder(headMemory, new ReadPacer()),
                 new RequestReader(listener, memory, headMemory, connectionMemory));
     }
 
