--- a/balancer/src/test/java/loadbalancer/process/ChildBalancer.java
+++ b/balancer/src/test/java/loadbalancer/process/ChildBalancer.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 
 /** Runs a balancer in a process of its own, with a descriptor limit that the operating system sets. */
 final class ChildBalancer implements Closeable {
@@ -36,14 +37,39 @@
 
     /** Returns the options of the JVM in the run line, without the archive of classes, which fits another jar. */
     static List<String> runLineOptions() throws IOException {
+        List<String> words = runLineWords();
+        return words.subList(words.indexOf("java") + 1, words.indexOf("-jar")).stream()
+                .filter(option -> !option.contains("SharedArchiveFile"))
+                .toList();
+    }
+
+    private static List<String> runLineWords() throws IOException {
         String run = Files.readAllLines(DEPLOY_FILE).stream()
                 .filter(line -> line.startsWith("run = "))
                 .findFirst()
                 .orElseThrow();
-        List<String> words = Arrays.asList(run.split(" "));
-        return words.subList(words.indexOf("java") + 1, words.indexOf("-jar")).stream()
-                .filter(option -> !option.contains("SharedArchiveFile"))
-                .toList();
+        return Arrays.asList(run.split(" "));
+    }
+
+    /** Puts the variables that the run line sets into {@code environment}. */
+    private static void addRunLineVariables(Map<String, String> environment) throws IOException {
+        List<String> words = runLineWords();
+        for (String word : words.subList(0, words.indexOf("java"))) {
+            String[] variable = word.split("=", 2);
+            if (variable.length == 2 && variable[0].matches("[A-Z_]+")) {
+                environment.put(variable[0], variable[1]);
+            }
+        }
+    }
+
+    /** Returns the most memory that the process has had resident so far, in bytes. */
+    long peakResidentBytes() throws IOException {
+        for (String line : Files.readAllLines(Path.of("/proc/" + pid() + "/status"))) {
+            if (line.startsWith("VmHWM:")) {
+                return 1024 * Long.parseLong(line.replaceAll("[^0-9]", ""));
+            }
+        }
+        throw new IOException("the system does not tell the peak of the resident memory");
     }
 
     /** Starts the process and waits until it listens. */
@@ -58,6 +84,7 @@
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), "loadbalancer.Main", "serve"));
         ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().keySet().removeIf(name -> name.startsWith("ROUTER_"));
+        addRunLineVariables(builder.environment());
         builder.environment().put("ROUTER_CONFIG", config.toString());
         process = builder.start();
         err = process.errorReader(StandardCharsets.UTF_8);
--- a/balancer/src/test/java/loadbalancer/process/HeapLimitTest.java
+++ b/balancer/src/test/java/loadbalancer/process/HeapLimitTest.java
@@ -12,6 +12,7 @@
 import java.util.Collections;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -25,6 +26,12 @@
     /** Each needs a turn of the event loop at least, in which it reads a part of what the crowd has sent. */
     private static final int READINESS_CHECKS = 30;
 
+    /** Half of the limits that a process has at the most. */
+    private static final int HALVED_DESCRIPTORS = 512;
+
+    private static final long HALVED_MEMORY_BYTES = 96_000_000;
+    private static final int FLOODED_REQUESTS = 1_500;
+
     private static final String SHORT_LINES = "X: 1\r\n".repeat(90);
 
     /** What a client of the crowd sends, by its number. */
@@ -118,15 +125,40 @@
             for (int i = 0; i < clients; i++) {
                 flood(balancer, flood.bytes(i));
             }
-            for (int i = 0; i < READINESS_CHECKS; i++) {
-                try (BalancerFixture.Client client = new BalancerFixture.Client(balancer.listenAddress())) {
-                    String response = client.send("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
-                            .readResponse();
-                    assertTrue(response != null && response.startsWith("HTTP/1.1 "), response);
-                }
+            assertServes(balancer);
+        }
+    }
+
+    /**
+     * Guards against a process that is ended for its memory: what it has resident is more than its heap, and the limits of
+     * a process may be halved.
+     */
+    @Test
+    void floodsOfAllKindsStayUnderTheHalvedMemoryLimit() throws IOException, InterruptedException {
+        try (ServerSocket upstream = new ServerSocket(0, 1_000, InetAddress.getLoopbackAddress());
+                FakeUpstream discovery = new FakeUpstream();
+                ChildBalancer balancer = new ChildBalancer(discovery, "127.0.0.1:" + upstream.getLocalPort())) {
+            startHangingUpstream(upstream);
+            balancer.start(HALVED_DESCRIPTORS, "ask", ChildBalancer.runLineOptions());
+            for (int i = 0; i < FLOODED_REQUESTS; i++) {
+                Flood flood = Flood.values()[i % Flood.values().length];
+                flood(balancer, flood.bytes(i));
+            }
+            assertServes(balancer);
+            long peakBytes = balancer.peakResidentBytes();
+            assertTrue(peakBytes <= HALVED_MEMORY_BYTES, "resident: " + peakBytes);
+        }
+    }
+
+    private static void assertServes(ChildBalancer balancer) throws IOException {
+        for (int i = 0; i < READINESS_CHECKS; i++) {
+            try (BalancerFixture.Client client = new BalancerFixture.Client(balancer.listenAddress())) {
+                String response =
+                        client.send("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").readResponse();
+                assertTrue(response != null && response.startsWith("HTTP/1.1 "), response);
             }
-            assertTrue(balancer.isAlive(), "the process has ended");
         }
+        assertTrue(balancer.isAlive(), "the process has ended");
     }
 
     /** Sends without waiting for the balancer to read; a connection that it refuses or closes is no fault. */
