Tell a process by its id, address and start, and a discovery by its versions

A discovery that numbers its versions anew at the same address was asked for changes only.

Cause: connections were checked by the endpoint's address alone; the start that discovery lists did not reach them.

Change: UpstreamEndpoint is id, address and start together; another process closes the idle connections, and what waits ends as NOT_SENT. An address belongs to the endpoint that is up there. Changes with a lower version, or a refused connection, make the next watch begin with the complete list.

Not shown in a record of real processes.

--- a/balancer/src/main/java/loadbalancer/upstream/UpstreamConnection.java
+++ b/balancer/src/main/java/loadbalancer/upstream/UpstreamConnection.java
@@ -21,19 +21,10 @@
  * ReuseCheck} allows it to carry another. Used on the event loop's thread only.
  */
 final class UpstreamConnection implements ResponseReader.Listener {
-    /** How much of the current request has been written; applies to the last request until the connection is idle. */
-    private enum RequestProgress {
-        /** Nothing has been written: the upstream has not received the request. */
-        NOT_STARTED,
-        /** A part may have been written, but not the last byte: the request can't have run. */
-        SENDING,
-        /** The last byte has been written: the request may have run. */
-        SENT
-    }
-
     private final UpstreamConnector connector;
     private final UpstreamEndpoint endpoint;
-    private final InetSocketAddress address; // the address of the endpoint when the connection was opened
+    private final InetSocketAddress address; // of the endpoint when the connection was opened
+    private final int processNumber; // of the endpoint when the connection was opened
     private final ReadPacer pacer = new ReadPacer();
     private final ResponseReader reader;
     private Channel channel;
@@ -51,6 +42,7 @@
         this.connector = connector;
         this.endpoint = endpoint;
         this.address = endpoint.address();
+        this.processNumber = endpoint.processNumber();
         this.reader = new ResponseReader(this, connector.responseMemory(), pacer);
         assign(call);
     }
@@ -121,14 +113,12 @@
         }
     }
 
-    // While the call waited for this connection, it may have been abandoned, the endpoint may have drained, and the
-    // permission to send it may have ended.
+    // While the call waited, it may have been abandoned, the endpoint drained, or the permission to send it ended.
     private void sendAssigned() {
         if (call == null) {
             becomeIdle(); // the connection is established, so a later call can use it
-        } else if (!endpoint.accepts(connector.nowMicros())) {
-            endCall(AttemptOutcome.NOT_SENT, null, null);
-            close();
+        } else if (!mayCarryRequests()) {
+            giveUp();
         } else if (!call.maySend()) {
             UpstreamCall notSent = takeCall();
             becomeIdle();
@@ -138,6 +128,10 @@
         }
     }
 
+    private boolean mayCarryRequests() {
+        return endpoint.accepts(connector.nowMicros()) && endpoint.processNumber() == processNumber;
+    }
+
     private void send(UpstreamCall next) {
         progress = RequestProgress.SENDING;
         reader.expectResponse();
@@ -190,8 +184,7 @@
         upload = null;
         progress = RequestProgress.NOT_STARTED;
         idleSinceMicros = connector.nowMicros();
-        // A server that listens at the former address of the endpoint would be a different endpoint.
-        if (!channel.isActive() || endpoint.isDraining() || !address.equals(endpoint.address())) {
+        if (!channel.isActive() || endpoint.isDraining() || endpoint.processNumber() != processNumber) {
             close();
         } else {
             endpoint.addIdle(this);
@@ -208,14 +201,19 @@
         if (!channel.isActive()) {
             return;
         }
-        if (!endpoint.accepts(connector.nowMicros())) {
-            endCall(AttemptOutcome.NOT_SENT, null, null);
-            close();
-            return;
+        if (mayCarryRequests()) {
+            reuse.checkSent();
+            sendHealthCheck();
+            long limitMillis = connector.connectTimeoutMillis();
+            reuseTimer = connector.loop().schedule(this::close, limitMillis, TimeUnit.MILLISECONDS);
+        } else {
+            giveUp();
         }
-        reuse.checkSent();
-        sendHealthCheck();
-        reuseTimer = connector.loop().schedule(this::close, connector.connectTimeoutMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void giveUp() {
+        endCall(AttemptOutcome.NOT_SENT, null, null);
+        close();
     }
 
     private void sendHealthCheck() {
@@ -303,12 +301,11 @@
         return taken;
     }
 
-    private static void end(UpstreamCall endingCall, UpstreamResponse response) {
-        if (endingCall != null) {
-            endingCall.end(
-                    ResponseClassifier.outcome(response),
-                    response,
-                    endingCall.isProbe() ? ResponseClassifier.probedLoad(response) : ResponseClassifier.load(response));
+    private static void end(UpstreamCall call, UpstreamResponse response) {
+        if (call != null) {
+            LoadReport load =
+                    call.isProbe() ? ResponseClassifier.probedLoad(response) : ResponseClassifier.load(response);
+            call.end(ResponseClassifier.outcome(response), response, load);
         }
     }
 
--- a/balancer/src/main/java/loadbalancer/upstream/UpstreamConnectionPool.java
+++ b/balancer/src/main/java/loadbalancer/upstream/UpstreamConnectionPool.java
@@ -1,6 +1,7 @@
 package loadbalancer.upstream;
 
 import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
 import java.net.UnixDomainSocketAddress;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -90,9 +91,7 @@
             String id = entry.endpoint().id();
             listedIds.add(id);
             UpstreamEndpoint endpoint = endpoints.computeIfAbsent(id, UpstreamEndpoint::new);
-            if (entry.address() != null && !entry.address().equals(endpoint.address())) {
-                endpoint.changeAddress(entry.address());
-            }
+            endpoint.update(entry.address(), entry.endpoint().startedAt());
             if (entry.endpoint().state() == EndpointState.UP) {
                 endpoint.endDrain();
             } else {
@@ -104,6 +103,23 @@
                     .filter(endpoint -> !listedIds.contains(endpoint.id()))
                     .forEach(endpoint -> endpoint.drainBy(drainDeadlineMicros(notifiedMicros)));
         }
+        closeFormerOwners(list);
+    }
+
+    // An endpoint that is up at an address has taken it over from any other one that was listed there.
+    private void closeFormerOwners(EndpointList list) {
+        Map<InetSocketAddress, String> owners = new HashMap<>();
+        for (EndpointList.Entry entry : list.entries()) {
+            if (entry.address() != null && entry.endpoint().state() == EndpointState.UP) {
+                owners.put(entry.address(), entry.endpoint().id());
+            }
+        }
+        for (UpstreamEndpoint endpoint : endpoints.values()) {
+            String owner = owners.get(endpoint.address());
+            if (owner != null && !owner.equals(endpoint.id()) && endpoint.isDraining()) {
+                endpoint.shutDown();
+            }
+        }
     }
 
     private long drainDeadlineMicros(long notifiedMicros) {
--- a/balancer/src/main/java/loadbalancer/upstream/UpstreamEndpoint.java
+++ b/balancer/src/main/java/loadbalancer/upstream/UpstreamEndpoint.java
@@ -4,13 +4,19 @@
 import java.util.ArrayDeque;
 import java.util.Iterator;
 
-/** An endpoint with its drain deadline and its idle connections. Used on the event loop's thread only. */
+/**
+ * An endpoint with its drain deadline and its idle connections. What it is told by is its id, its address and its start
+ * together: a process that has started anew, or has taken over the address, is another one, and nothing that was meant
+ * for the former process may go to it. Used on the event loop's thread only.
+ */
 final class UpstreamEndpoint {
     private static final long NOT_DRAINING = Long.MAX_VALUE;
 
     private final String id;
     private final ArrayDeque<UpstreamConnection> idle = new ArrayDeque<>(); // the most recently used one is last
     private InetSocketAddress address; // null if the endpoint list contains none
+    private long startedAtMicros; // 0 if the endpoint list does not tell
+    private int processNumber; // counts the processes that this endpoint has been
     private long drainDeadlineMicros = NOT_DRAINING;
 
     UpstreamEndpoint(String id) {
@@ -25,10 +31,29 @@
         return address;
     }
 
-    /** Changes the address and closes the idle connections, whose peer is no longer this endpoint. */
-    void changeAddress(InetSocketAddress newAddress) {
+    /** Returns the number of the process that this endpoint is now; it changes with the process. */
+    int processNumber() {
+        return processNumber;
+    }
+
+    /**
+     * Updates the address and the start as they are listed; either may be unknown, null or 0. If the endpoint is
+     * another process now, its idle connections are closed.
+     */
+    void update(InetSocketAddress newAddress, long newStartedAtMicros) {
+        boolean moved = newAddress != null && !newAddress.equals(address);
+        boolean restarted = newStartedAtMicros > 0 && newStartedAtMicros != startedAtMicros;
+        if (moved || restarted) {
+            processEnded();
+        }
+        address = newAddress == null ? address : newAddress;
+        startedAtMicros = newStartedAtMicros > 0 ? newStartedAtMicros : startedAtMicros;
+    }
+
+    /** Called when the process has ended, as another endpoint listens at its address. */
+    void processEnded() {
+        processNumber++;
         closeIdle();
-        address = newAddress;
     }
 
     /** Returns whether requests may be sent at {@code nowMicros}. */
--- a/balancer/src/test/java/loadbalancer/process/DiscoveryClientTest.java
+++ b/balancer/src/test/java/loadbalancer/process/DiscoveryClientTest.java
@@ -221,6 +221,21 @@
         assertTrue(silentMillis >= 2_900, "reopened after " + silentMillis + " ms, while a line comes every 2 s");
     }
 
+    /** Guards against a new discovery at the same address that numbers its versions anew and is asked for changes. */
+    @Test
+    void aDiscoveryWhoseVersionsGoBackIsAskedForTheCompleteList() throws Exception {
+        start();
+        onLoop(() -> policy.actions.watch(true));
+        FakeUpstream.ReceivedRequest watch = discovery.nextRequest();
+        assertEquals("GET /api/targets?watch=1&from=41 HTTP/1.1", watch.requestLine());
+        watch.write(WATCH_RESPONSE_HEAD + chunk(endpointList(5, false, "terminating")));
+        assertEquals("UNAVAILABLE []", policy.nextEvent());
+        onLoop(() -> policy.actions.watch(true));
+        assertEquals(
+                "GET /api/targets?watch=1&from=0 HTTP/1.1",
+                discovery.nextRequest().requestLine());
+    }
+
     /** A new address of discovery is watched at once, and the end of the old watch does not count as a failure. */
     @Test
     void aNewDiscoveryAddressMovesTheWatchAndKeepsTheListAndTheRequests() throws IOException, InterruptedException {
--- a/discovery/src/main/java/loadbalancer/discovery/DiscoveryClient.java
+++ b/discovery/src/main/java/loadbalancer/discovery/DiscoveryClient.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -19,6 +20,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashSet;
@@ -62,7 +64,7 @@
     private final boolean pushed;
     private final LongSupplier clockMicros;
     private final ListStaleness staleness;
-    private long version;
+    private long version; // of the list that is known; 0 if the next watch has to begin with the complete list
     private Call watch;
     private boolean watchWanted; // stays set while a watch that has failed is not open again yet
 
@@ -199,11 +201,19 @@
                 if (done.isSuccess()) {
                     channel.writeAndFlush(request());
                 } else {
+                    forgetVersionIfRefused(done.cause());
                     end();
                 }
             });
         }
 
+        // Nobody listens: discovery has ended, and what comes up at its address may number its versions differently.
+        private void forgetVersionIfRefused(Throwable cause) {
+            if (cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException)) {
+                version = 0;
+            }
+        }
+
         private DefaultFullHttpRequest request() {
             DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
             String host = address.getAddress().getHostAddress() + ":" + address.getPort();
@@ -311,6 +321,12 @@
         }
 
         private void received(EndpointList list) {
+            if (!list.complete() && list.version() < version) {
+                // Versions never go back, so another discovery has come up at this address: changes are not enough.
+                version = 0;
+                end();
+                return;
+            }
             version = list.version();
             if (!answered) {
                 answered = true;
