--- a/balancer/src/main/java/loadbalancer/http/ClientRequestHandler.java
+++ b/balancer/src/main/java/loadbalancer/http/ClientRequestHandler.java
@@ -115,7 +115,8 @@
             long waitedMicros,
             boolean warmUpRequest) {
         if (servingState.isStopping() && servingState.stoppingNanos() > MAX_DISPATCH_WHILE_STOPPING_NANOS) {
-            client.reject(HttpResponseStatus.SERVICE_UNAVAILABLE, ClientConnection.STOPPING_REASON);
+            boolean keepAlive = HttpUtil.isKeepAlive(head); // requests behind this one are answered too
+            client.writeText(HttpResponseStatus.SERVICE_UNAVAILABLE, ClientConnection.STOPPING_REASON, keepAlive);
             return;
         }
         InboundRequest request;
--- a/balancer/src/test/java/loadbalancer/process/HeapLimitTest.java
+++ b/balancer/src/test/java/loadbalancer/process/HeapLimitTest.java
@@ -130,8 +130,8 @@
     }
 
     /**
-     * Guards against a process that is ended for its memory: what it has resident is more than its heap, and the limits of
-     * a process may be halved.
+     * Guards against a process that is ended for its memory: what it has resident is more than its heap, and the limits
+     * of a process may be halved.
      */
     @Test
     void floodsOfAllKindsStayUnderTheHalvedMemoryLimit() throws IOException, InterruptedException {
