--- a/balancer/src/main/java/loadbalancer/upstream/UpstreamConnection.java
+++ b/balancer/src/main/java/loadbalancer/upstream/UpstreamConnection.java
@@ -82,7 +82,6 @@
         return progress != RequestProgress.NOT_STARTED;
     }
 
-    /** Returns whether the last byte of the request has been written. */
     boolean hasSentRequest() {
         return progress == RequestProgress.SENT;
     }
@@ -100,7 +99,6 @@
         return idleSinceMicros;
     }
 
-    /** Returns whether a request may be sent now, see {@link ReuseCheck}. */
     boolean isProven() {
         return reuse.isProven();
     }
@@ -196,7 +194,6 @@
 
     // ---- the check before the connection is used again
 
-    // The endpoint may have drained while the connection rested.
     private void check() {
         if (!channel.isActive()) {
             return;
@@ -269,7 +266,7 @@
         }
     }
 
-    // What follows a copy in the same read may be the response to the request; its connection is invalid then.
+    // Where the connection is invalid, what followed in the same read may be the response to the request.
     private void onPossibleCopy(UpstreamResponse response, boolean reusable) {
         if (reusable && isRequestSent()) {
             confirm(response);
@@ -281,7 +278,7 @@
     private void onOwnResponse(UpstreamResponse response, boolean reusable) {
         boolean keepsConnection = call != null && reusable && isRequestSent();
         UpstreamCall endingCall = takeCall();
-        // The connection becomes idle before the policy is notified, as the next attempt may wait for it.
+        // Before the policy is notified, as the next attempt may wait for this connection.
         if (keepsConnection) {
             reuse.responseEnded(ReuseCheck.Fingerprint.of(response));
             becomeIdle();
@@ -377,6 +374,14 @@
         }
     }
 
+    private void connectAgain() {
+        if (endpoint.processNumber() == processNumber) {
+            connector.connect(endpoint, takeCall());
+        } else {
+            giveUp();
+        }
+    }
+
     /** Called after the reader was notified, as the end of the connection may complete a close-delimited response. */
     void onInactive() {
         if (download != null) {
@@ -386,9 +391,7 @@
             upload.discard();
         }
         if (call != null && active && !hasStartedRequest()) {
-            UpstreamCall waiting = call; // nothing of it has been sent, so another connection can be used
-            call = null;
-            connector.connect(endpoint, waiting);
+            connectAgain(); // nothing of it has been sent
             return;
         }
         boolean mayHaveRun = progress == RequestProgress.SENT;
--- a/balancer/src/test/java/loadbalancer/upstream/EndpointIdentityTest.java
+++ b/balancer/src/test/java/loadbalancer/upstream/EndpointIdentityTest.java
@@ -77,6 +77,27 @@
         }
     }
 
+    /** The same for an attempt whose connection to the process before ends while it waits for the health check. */
+    @Test
+    void anAttemptThatWaitsForTheHealthCheckIsNotSentToTheNewProcess() throws Exception {
+        start();
+        upstream.queuesHealthChecks = true;
+        try (Client client = new Client(listenAddress)) {
+            client.send(IDEMPOTENT_REQUEST);
+            upstream.nextRequest().respond(200, "", "before");
+            assertEquals(200, client.readStatus());
+            assertEquals("OK closed", policy.nextEvent());
+            FakeUpstream.ReceivedRequest check = upstream.nextRequest();
+            client.send(IDEMPOTENT_REQUEST);
+            assertEquals("0 k1 700 true", policy.requests.poll(20, TimeUnit.SECONDS));
+            assertEquals("0 k1 700 true", policy.requests.poll(20, TimeUnit.SECONDS));
+            listRestarted();
+            check.reset();
+            assertEquals("NOT_SENT", policy.nextEvent());
+            assertEquals(502, client.readStatus());
+        }
+    }
+
     /** Guards against work for an endpoint that has gone, which within its drain grace period goes to another one. */
     @Test
     void nothingIsSentToAnAddressThatAnotherEndpointHasTakenOver() throws Exception {
